--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/ConfigSnapshot.java
@@ -0,0 +1,25 @@
+package org.buckthornferry.config;
+
+import org.buckthornferry.control.BlackboardEntry;
+import org.buckthornferry.util.Checks;
+
+/**
+ * One accepted revision of the declarations.
+ *
+ * @param revision grows by one with every publish; 0 before the first
+ * @param attemptId identifies the publish that created the revision
+ */
+public record ConfigSnapshot(long revision, String attemptId, Declarations declarations) {
+  /** The state before any revision is known. */
+  public static final ConfigSnapshot NONE = new ConfigSnapshot(0, "", Declarations.EMPTY);
+
+  /** The revision in force at this instance. */
+  public static final BlackboardEntry<ConfigSnapshot> ENTRY = BlackboardEntry.of("config", NONE);
+
+  /** Checks that the values are present. */
+  public ConfigSnapshot {
+    Checks.notNegative(revision, "revision");
+    Checks.notNull(attemptId, "attemptId");
+    Checks.notNull(declarations, "declarations");
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -0,0 +1,4 @@
+package org.buckthornferry.peer;
+
+/** A message between two instances. Every implementation is an immutable record. */
+public interface PeerMessage {}
