--- a/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -1,4 +1,13 @@
 package org.buckthornferry.peer;
 
+import java.io.IOException;
+import org.msgpack.core.MessagePacker;
+
 /** A message between two instances. Every implementation is an immutable record. */
-public interface PeerMessage {}
+public sealed interface PeerMessage permits Hello {
+  /** Returns the type, which decides the encoding. */
+  MessageType type();
+
+  /** Writes the fields in their order, without the type. */
+  void encode(MessagePacker packer) throws IOException;
+}
