--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -16,6 +16,8 @@
   }
 
   private final int code;
+
+  @SuppressWarnings("ImmutableEnumChecker") // Decoders are static method references.
   private final Decoder decoder;
 
   MessageType(int code, Decoder decoder) {
