--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/Member.java
@@ -0,0 +1,32 @@
+package org.buckthornferry.membership;
+
+import org.buckthornferry.util.Checks;
+
+/**
+ * An instance as another instance sees it.
+ *
+ * @param peerAddress the IP address and port for messages between instances
+ * @param incarnation the start time of the process, in milliseconds since the epoch
+ * @param refutations how often the process has refuted a suspicion
+ * @param storeReachable whether the instance reached the key-value service when last heard
+ * @param storeObservedNanos when {@code storeReachable} was observed, on this instance's clock
+ */
+public record Member(
+    String instanceId,
+    String peerAddress,
+    String failureDomain,
+    String region,
+    long incarnation,
+    long refutations,
+    MemberState state,
+    boolean storeReachable,
+    long storeObservedNanos) {
+  /** Checks that the identifiers are present. */
+  public Member {
+    Checks.notEmpty(instanceId, "instanceId");
+    Checks.notEmpty(peerAddress, "peerAddress");
+    Checks.notEmpty(failureDomain, "failureDomain");
+    Checks.notEmpty(region, "region");
+    Checks.notNull(state, "state");
+  }
+}
