Add the HTTP server, the HTTP client and the key-value service client

The server bounds headers, bodies, connections and unsent response bytes and answers a failed request with a problem document. The client never repeats a request and reports whether any byte of it may have been sent, which is the basis of a truthful notRun.

--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/Addresses.java
@@ -0,0 +1,41 @@
+package org.buckthornferry.http;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import org.buckthornferry.util.Checks;
+
+/** Parses the addresses in settings and declarations. */
+public final class Addresses {
+  private static final int MAX_PORT = 65_535;
+
+  private Addresses() {}
+
+  /**
+   * Returns the address in {@code host:port}.
+   *
+   * @throws IllegalArgumentException when the text has another form
+   */
+  public static InetSocketAddress parse(String hostAndPort) {
+    int colon = hostAndPort.lastIndexOf(':');
+    Checks.check(colon > 0, "address must have the form host:port but was " + hostAndPort);
+    try {
+      int port = Integer.parseInt(hostAndPort.substring(colon + 1));
+      Checks.check(port >= 0 && port <= MAX_PORT, "port must be 0 to 65535 in " + hostAndPort);
+      return new InetSocketAddress(hostAndPort.substring(0, colon), port);
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("port must be a number in " + hostAndPort, e);
+    }
+  }
+
+  /**
+   * Returns the address of an {@code http} URL.
+   *
+   * @throws IllegalArgumentException when the URL has no host and port
+   */
+  public static InetSocketAddress ofUrl(String url) {
+    URI uri = URI.create(url);
+    Checks.check(
+        uri.getHost() != null && uri.getPort() > 0, "URL must have a host and a port: " + url);
+    return new InetSocketAddress(uri.getHost(), uri.getPort());
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
@@ -0,0 +1,74 @@
+package org.buckthornferry.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+
+/** Delivers the response of one connection to the call that is in progress on it. */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private PendingCall call;
+  private boolean keepAlive;
+  private boolean informational;
+
+  void begin(PendingCall newCall) {
+    call = newCall;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+    if (call == null || message.decoderResult().isFailure()) {
+      failAndClose(context, new IOException("unexpected or malformed response"));
+      return;
+    }
+    if (message instanceof HttpResponse response) {
+      informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      keepAlive = HttpUtil.isKeepAlive(response);
+      if (!informational) {
+        call.onHead(response.status().code(), response.headers());
+      }
+    }
+    if (message instanceof HttpContent content && !informational) {
+      onContent(content);
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    ByteBuf bytes = content.content();
+    if (bytes.isReadable()) {
+      byte[] part = new byte[bytes.readableBytes()];
+      bytes.readBytes(part);
+      call.onBody(part);
+    }
+    if (content instanceof LastHttpContent) {
+      PendingCall ended = call;
+      call = null;
+      ended.onEnd(keepAlive);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    failAndClose(context, new IOException("connection closed before the response ended"));
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    failAndClose(context, cause);
+  }
+
+  private void failAndClose(ChannelHandlerContext context, Throwable cause) {
+    PendingCall failed = call;
+    call = null;
+    if (failed != null) {
+      failed.onFailure(cause);
+    }
+    context.close();
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpExchange.java
@@ -0,0 +1,176 @@
+package org.buckthornferry.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * One request and its response. The response methods may be called from any thread, in the order
+ * {@link #start}, {@link #write}, {@link #end}, or {@link #respond} alone.
+ */
+public final class HttpExchange {
+  private final Channel channel;
+  private final String method;
+  private final QueryStringDecoder uri;
+  private final HttpHeaders headers;
+  private final byte[] body;
+  private final boolean keepAlive;
+  private final Runnable onFinished;
+  private final AtomicBoolean finished = new AtomicBoolean();
+  private volatile Runnable closeListener = () -> {};
+  private volatile Runnable writableListener = () -> {};
+
+  HttpExchange(Channel channel, FullHttpRequest request, Runnable onFinished) {
+    this.channel = channel;
+    this.method = request.method().name();
+    this.uri = new QueryStringDecoder(request.uri());
+    this.headers = request.headers();
+    ByteBuf content = request.content();
+    this.body = new byte[content.readableBytes()];
+    content.getBytes(content.readerIndex(), body);
+    this.keepAlive = HttpUtil.isKeepAlive(request);
+    this.onFinished = onFinished;
+  }
+
+  /** Returns the request method, such as {@code POST}. */
+  public String method() {
+    return method;
+  }
+
+  /** Returns the decoded path without the query. */
+  public String path() {
+    return uri.path();
+  }
+
+  /** Returns the first value of a query parameter, or empty. */
+  public Optional<String> query(String name) {
+    List<String> values = uri.parameters().get(name);
+    return values == null ? Optional.empty() : Optional.of(values.get(0));
+  }
+
+  /** Returns the first value of a header, or empty. */
+  public Optional<String> header(String name) {
+    return Optional.ofNullable(headers.get(name));
+  }
+
+  /** Returns the request body; the array must not be changed. */
+  public byte[] body() {
+    return body;
+  }
+
+  /** Registers the action for a connection that closes before the response has ended. */
+  public void onClose(Runnable listener) {
+    closeListener = listener;
+    if (!channel.isActive()) {
+      connectionClosed();
+    }
+  }
+
+  /** Registers the action for a change of {@link #isWritable}. */
+  public void onWritabilityChanged(Runnable listener) {
+    writableListener = listener;
+  }
+
+  /** Returns whether the unsent part of the response is below its bound. */
+  public boolean isWritable() {
+    return channel.isWritable();
+  }
+
+  /** Sends a whole response. */
+  public void respond(int status, Map<String, String> responseHeaders, byte[] responseBody) {
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(responseBody));
+    responseHeaders.forEach(response.headers()::set);
+    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, responseBody.length);
+    finish(response);
+  }
+
+  /** Sends a whole response with a JSON body. */
+  public void respondJson(int status, String json) {
+    respond(
+        status, Map.of("Content-Type", "application/json"), json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Sends the head of a response whose body follows in parts. */
+  public void start(int status, Map<String, String> responseHeaders) {
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    responseHeaders.forEach(response.headers()::set);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    setConnectionHeader(response);
+    channel.writeAndFlush(response, channel.voidPromise());
+  }
+
+  /** Sends a part of the body. */
+  public void write(byte[] part) {
+    if (part.length > 0) {
+      channel.writeAndFlush(
+          new DefaultHttpContent(Unpooled.wrappedBuffer(part)), channel.voidPromise());
+    }
+  }
+
+  /** Ends a response that was begun with {@link #start}. */
+  public void end() {
+    finish(LastHttpContent.EMPTY_LAST_CONTENT);
+  }
+
+  /** Closes the connection, so that the caller sees a response without an end. */
+  public void abort() {
+    if (finished.compareAndSet(false, true)) {
+      channel.close();
+    }
+  }
+
+  private void finish(Object lastMessage) {
+    if (!finished.compareAndSet(false, true)) {
+      return;
+    }
+    if (lastMessage instanceof HttpResponse response) {
+      setConnectionHeader(response);
+    }
+    if (keepAlive) {
+      channel.writeAndFlush(lastMessage, channel.voidPromise());
+      channel.eventLoop().execute(onFinished);
+    } else {
+      channel.writeAndFlush(lastMessage).addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  private void setConnectionHeader(HttpResponse response) {
+    if (!keepAlive) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  void connectionClosed() {
+    if (finished.compareAndSet(false, true)) {
+      closeListener.run();
+    }
+  }
+
+  void writabilityChanged() {
+    writableListener.run();
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpHandler.java
@@ -0,0 +1,11 @@
+package org.buckthornferry.http;
+
+/** Handles the requests of an HTTP server. */
+@FunctionalInterface
+public interface HttpHandler {
+  /**
+   * Handles one request whose body has been received in full. Runs on an event loop and must not
+   * block; the response may be written later from any thread.
+   */
+  void handle(HttpExchange exchange);
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpResponseListener.java
@@ -0,0 +1,23 @@
+package org.buckthornferry.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Receives the response to a request of an {@link HttpConnector}, on an event loop. */
+public interface HttpResponseListener {
+  /** The head of the response has arrived. */
+  void onHead(int status, HttpHeaders headers);
+
+  /** A part of the body has arrived. */
+  void onBody(byte[] part);
+
+  /** The response has ended in full. */
+  void onEnd();
+
+  /**
+   * The request failed.
+   *
+   * @param bytesSent whether any byte of the request may have reached the server; when false, the
+   *     server certainly did not run the request
+   */
+  void onFailure(Throwable cause, boolean bytesSent);
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpServer.java
@@ -0,0 +1,108 @@
+package org.buckthornferry.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An HTTP/1.1 server with limits on headers, bodies, connections and unsent response bytes. */
+public final class HttpServer {
+  private static final int UNSENT_LOW_BYTES = 32 * 1024;
+  private static final int UNSENT_HIGH_BYTES = 128 * 1024;
+  private static final int ACCEPT_BACKLOG = 1_024;
+
+  private final InetSocketAddress address;
+  private final HttpLimits limits;
+  private final Optional<SslContext> tls;
+  private final EventLoopGroup eventLoops;
+  private final HttpHandler handler;
+  private final AtomicInteger openConnections = new AtomicInteger();
+  private volatile Channel serverChannel;
+
+  /** Creates a server that does not listen yet. */
+  public HttpServer(
+      InetSocketAddress address,
+      HttpLimits limits,
+      Optional<SslContext> tls,
+      EventLoopGroup eventLoops,
+      HttpHandler handler) {
+    this.address = address;
+    this.limits = limits;
+    this.tls = tls;
+    this.eventLoops = eventLoops;
+    this.handler = handler;
+  }
+
+  /** Starts to listen; returns the bound port. Fails with the I/O error of the bind. */
+  public CompletableFuture<Integer> start() {
+    CompletableFuture<Integer> started = new CompletableFuture<>();
+    new ServerBootstrap()
+        .group(eventLoops)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(
+            ChannelOption.WRITE_BUFFER_WATER_MARK,
+            new WriteBufferWaterMark(UNSENT_LOW_BYTES, UNSENT_HIGH_BYTES))
+        .childHandler(new Pipeline())
+        .bind(address)
+        .addListener(
+            (io.netty.channel.ChannelFuture bound) -> {
+              if (bound.isSuccess()) {
+                serverChannel = bound.channel();
+                started.complete(((InetSocketAddress) serverChannel.localAddress()).getPort());
+              } else {
+                started.completeExceptionally(bound.cause());
+              }
+            });
+    return started;
+  }
+
+  /** Stops to accept connections; open ones continue until their response has ended. */
+  public void stop() {
+    if (serverChannel != null) {
+      serverChannel.close().syncUninterruptibly();
+    }
+  }
+
+  /** Returns the number of open connections. */
+  public int openConnections() {
+    return openConnections.get();
+  }
+
+  private final class Pipeline extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      if (openConnections.incrementAndGet() > limits.maxConnections()) {
+        openConnections.decrementAndGet();
+        channel.close();
+        return;
+      }
+      channel.closeFuture().addListener(closed -> openConnections.decrementAndGet());
+      tls.ifPresent(context -> channel.pipeline().addLast(context.newHandler(channel.alloc())));
+      channel
+          .pipeline()
+          .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS))
+          .addLast(
+              new HttpServerCodec(
+                  new HttpDecoderConfig()
+                      .setMaxInitialLineLength(limits.maxHeaderBytes())
+                      .setMaxHeaderSize(limits.maxHeaderBytes())))
+          .addLast(new LimitedBodyAggregator(limits.maxBodyBytes()))
+          .addLast(new ServerConnection(handler));
+    }
+  }
+}
