Add the stand-ins of the store, engines, services, instance list and weights

Entry instances meet outside systems only through their protocols, so each system needs a stand-in whose faults can be switched while a load runs.

The module has no tests yet.

--- /dev/null
+++ b/standins/src/main/java/org/buckthornferry/standin/LoadReport.java
@@ -0,0 +1,35 @@
+package org.buckthornferry.standin;
+
+/**
+ * The load of an endpoint, as {@code GET /load} reports it.
+ *
+ * @param running the requests in the batch
+ * @param waiting the requests that wait in arrival order
+ * @param prefillTokensQueued the prompt tokens that are not prefilled yet
+ * @param cold whether the endpoint says that it is in cold start
+ * @param leaving whether the endpoint will stop
+ * @param version the loaded version
+ * @param tokensPerSecond the tokens generated in the last second
+ * @param ageMillis the age of the report
+ */
+record LoadReport(
+    int running,
+    int waiting,
+    long prefillTokensQueued,
+    boolean cold,
+    boolean leaving,
+    String version,
+    double tokensPerSecond,
+    long ageMillis) {
+  LoadReport withAge(long newAgeMillis) {
+    return new LoadReport(
+        running,
+        waiting,
+        prefillTokensQueued,
+        cold,
+        leaving,
+        version,
+        tokensPerSecond,
+        newAgeMillis);
+  }
+}
