--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/CallerRequest.java
@@ -0,0 +1,26 @@
+package org.buckthornferry.node;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.buckthornferry.admission.Tier;
+import org.buckthornferry.config.CustomerDeclaration;
+
+/**
+ * A request of a caller after its headers were checked.
+ *
+ * @param idempotencyKey the caller's key, or empty when the caller sent none
+ * @param receivedNanos when the request was received, on the monotonic clock
+ * @param deadlineNanos when the response must have ended, on the monotonic clock
+ * @param resumeFromOffset the offset after which the caller continues a stream, or empty
+ */
+@SuppressWarnings("ArrayRecordComponent") // The body is passed on and never compared.
+record CallerRequest(
+    String requestId,
+    CustomerDeclaration customer,
+    RequestCatalog.Target target,
+    Tier tier,
+    Optional<String> idempotencyKey,
+    byte[] body,
+    long receivedNanos,
+    long deadlineNanos,
+    OptionalLong resumeFromOffset) {}
--- /dev/null
+++ b/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
@@ -0,0 +1,41 @@
+package org.buckthornferry.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.buckthornferry.config.Json;
+import org.buckthornferry.config.Settings;
+import org.buckthornferry.node.EntryNode;
+
+/** Runs an entry instance until it is told to stop. */
+@Parameters(commandDescription = "Run an entry instance")
+final class EntryCommand implements Command {
+  @Parameter(names = "--settings", description = "JSON file with the settings", required = true)
+  private String settingsFile;
+
+  @Override
+  public String name() {
+    return "entry";
+  }
+
+  @Override
+  public ExitCode run() throws Exception {
+    Settings settings =
+        Json.MAPPER.readValue(Files.readAllBytes(Path.of(settingsFile)), Settings.class);
+    EntryNode node = new EntryNode(settings);
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  node.stop();
+                  stopped.countDown();
+                },
+                "shutdown"));
+    node.start().join();
+    stopped.await();
+    return ExitCode.SUCCESS;
+  }
+}
