--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -5,7 +5,10 @@
 
 /** The closed set of message types with their codes on the wire. */
 public enum MessageType {
-  HELLO(1, Hello::decode);
+  HELLO(1, Hello::decode),
+  VERSION_FAULT(40, VersionFault::decode),
+  ROLLOUT_STATE(41, RolloutStateMessage::decode),
+  ROLLOUT_REPORT(42, RolloutReport::decode);
 
   private static final MessageType[] BY_CODE = new MessageType[64];
 
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/LatencyBaseline.java
@@ -0,0 +1,40 @@
+package org.buckthornferry.rollout;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Estimates the median latency of the old version per route by stochastic approximation: each
+ * sample moves the estimate by a small factor towards itself.
+ */
+final class LatencyBaseline {
+  private static final double STEP_FACTOR = 1.05;
+  private static final int MIN_SAMPLES = 10;
+
+  private final Map<String, Estimate> byRoute = new HashMap<>();
+
+  private static final class Estimate {
+    private double medianNanos;
+    private int samples;
+  }
+
+  void add(String route, double latencyNanos) {
+    Estimate estimate = byRoute.computeIfAbsent(route, unused -> new Estimate());
+    if (estimate.samples == 0) {
+      estimate.medianNanos = latencyNanos;
+    } else if (latencyNanos > estimate.medianNanos) {
+      estimate.medianNanos = Math.min(latencyNanos, estimate.medianNanos * STEP_FACTOR);
+    } else {
+      estimate.medianNanos = Math.max(latencyNanos, estimate.medianNanos / STEP_FACTOR);
+    }
+    estimate.samples++;
+  }
+
+  /** Returns whether a latency is above {@code ratio} times the median; false while unknown. */
+  boolean isSlow(String route, double latencyNanos, double ratio) {
+    Estimate estimate = byRoute.get(route);
+    return estimate != null
+        && estimate.samples >= MIN_SAMPLES
+        && latencyNanos > ratio * estimate.medianNanos;
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/SequentialTest.java
@@ -0,0 +1,46 @@
+package org.buckthornferry.rollout;
+
+import org.buckthornferry.util.Checks;
+
+/**
+ * A sequential likelihood-ratio test for a raised rate of bad requests, in the cumulative-sum form.
+ * The sum never falls below zero, so that a version that turns bad after many good requests is
+ * found as fast as one that is bad from the start.
+ */
+final class SequentialTest {
+  /**
+   * The sum at which a fault is declared. At a base rate of 0.2% and a fault rate 5 points above, 3
+   * failures among the first 17 requests or 4 among 80 reach it.
+   */
+  static final double FAULT_THRESHOLD = 9.0;
+
+  private double sum;
+
+  /**
+   * Adds a batch of requests.
+   *
+   * @param bad the bad requests in the batch
+   * @param good the other requests in the batch
+   * @param baseRate the rate of bad requests of a sound version, in (0, 1)
+   * @param faultRate the rate at which the version is at fault, above {@code baseRate}
+   */
+  void add(long bad, long good, double baseRate, double faultRate) {
+    Checks.check(baseRate > 0 && faultRate > baseRate && faultRate < 1, "rates must increase");
+    sum += bad * Math.log(faultRate / baseRate);
+    sum = Math.max(0, sum + good * Math.log((1 - faultRate) / (1 - baseRate)));
+  }
+
+  /** Returns whether the evidence for a fault is sufficient. */
+  boolean showsFault() {
+    return sum >= FAULT_THRESHOLD;
+  }
+
+  /** Returns whether nothing speaks for a fault at the moment. */
+  boolean isClear() {
+    return sum == 0;
+  }
+
+  double sum() {
+    return sum;
+  }
+}
