--- a/standins/src/main/java/org/buckthornferry/standin/Engine.java
+++ b/standins/src/main/java/org/buckthornferry/standin/Engine.java
@@ -85,7 +85,7 @@
 
   /** Accepts a new request, or fails as a whole when it is cold beyond its bound. */
   EngineRun dispatch(RunSpec spec, String prompt, RunListener listener) {
-    int present = core.present() + 1;
+    int present = (isCold() ? core.presentFromCold() : core.present()) + 1;
     VersionFault fault = faults.current().versionFault();
     boolean faulty = fault.shows(version, spec.path(), dispatchedOfVersion, present);
     EngineRun run =
--- a/standins/src/main/java/org/buckthornferry/standin/EngineCore.java
+++ b/standins/src/main/java/org/buckthornferry/standin/EngineCore.java
@@ -50,6 +50,18 @@
     return batch.size() + waiting.size();
   }
 
+  /** Returns the requests that arrived in a cold start and are still here. */
+  int presentFromCold() {
+    int count = 0;
+    for (EngineRun run : batch) {
+      count += run.startedCold() ? 1 : 0;
+    }
+    for (EngineRun run : waiting) {
+      count += run.startedCold() ? 1 : 0;
+    }
+    return count;
+  }
+
   boolean isFull() {
     return batch.size() >= settings.maxBatch() && waiting.size() >= settings.maxWaiting();
   }
--- a/standins/src/main/java/org/buckthornferry/standin/EngineRun.java
+++ b/standins/src/main/java/org/buckthornferry/standin/EngineRun.java
@@ -36,6 +36,10 @@
     return spec;
   }
 
+  boolean startedCold() {
+    return start.cold();
+  }
+
   RunState state() {
     return state;
   }
--- a/standins/src/main/java/org/buckthornferry/standin/EngineSettings.java
+++ b/standins/src/main/java/org/buckthornferry/standin/EngineSettings.java
@@ -16,7 +16,8 @@
  * @param startsCold whether the engine is cold when it starts
  * @param coldMillis the duration of a cold start
  * @param coldFactor the speed in cold start relative to the warm speed
- * @param coldBound the requests above which a cold engine fails
+ * @param coldBound the requests since the begin of a cold start above which the engine fails;
+ *     requests that were running before do not count
  * @param coldAnnounced whether the load report tells that the engine is cold
  * @param reportLagMillis the age of the load reports
  * @param cacheEventDelayMillis the delay before a cache event becomes visible
--- a/standins/src/main/java/org/buckthornferry/standin/RunLogEntry.java
+++ b/standins/src/main/java/org/buckthornferry/standin/RunLogEntry.java
@@ -13,7 +13,8 @@
  * @param generatedTokens the tokens that were generated
  * @param version the version that served
  * @param cold whether the endpoint was in cold start when the request arrived
- * @param running the requests in the endpoint when the request arrived, with this one
+ * @param running the requests in the endpoint when the request arrived, with this one; in cold
+ *     start only those that arrived since it began
  * @param fencing the {@code Endpoint-Fencing} header; empty when absent
  * @param startMillis the wall-clock time of arrival
  * @param endMillis the wall-clock time of the end; 0 while it runs
