Bound the requests that run at once at a version before its move is done

Change: at most 12 requests run at the new version before the move is done, or one in 200 of its declared concurrency in a large fleet; the bound falls to 8 with every bad request; an instance that saw one runs one at a time.

--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/MoveEvidence.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/MoveEvidence.java
@@ -12,6 +12,7 @@
   private final TreeMap<String, RouteEvidence> byRoute = new TreeMap<>();
   private final TreeMap<Source, RouteCounts> lastReadings = new TreeMap<>();
   private long newEnded;
+  private long goodSinceBad;
 
   private record Source(String instance, String route, boolean newVersion)
       implements Comparable<Source> {
@@ -47,6 +48,8 @@
     RouteEvidence evidence = byRoute.computeIfAbsent(route, unused -> new RouteEvidence());
     if (newVersion) {
       newEnded += growth.ended();
+      boolean bad = growth.failed() + growth.slow() > 0;
+      goodSinceBad = bad ? 0 : goodSinceBad + growth.ended();
       evidence.addNew(growth, rollout);
     } else {
       evidence.addOld(growth);
@@ -82,6 +85,11 @@
     return anyTraffic;
   }
 
+  /** Returns the good requests of the new version since its last failed or slow one. */
+  long goodSinceBad() {
+    return goodSinceBad;
+  }
+
   /** Returns the requests of the new version that ended, over all routes. */
   long newEnded() {
     return newEnded;
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/RolloutController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/RolloutController.java
@@ -191,6 +191,9 @@
       store.read(serviceId, nowNanos);
     }
     readOwnCounts(move);
+    if (move.earnedMaxRunning() < move.fleetMaxRunning()) {
+      nextStateNanos.put(serviceId, nowNanos);
+    }
     move.limitRunning(move.earnedMaxRunning());
     Decision decision = StepPolicy.decide(move, epochMillis.getAsLong());
     if (isAllowed(decision, move)) {
@@ -390,6 +393,11 @@
 
   /** Divides the fleet's bound among the running members; the first in id order get the rest. */
   private int localMaxRunning(ServiceMove move) {
+    int share = fleetShare(move);
+    return move.isCautious() ? Math.min(1, share) : share;
+  }
+
+  private int fleetShare(ServiceMove move) {
     MembershipView members = blackboard.read(MembershipView.ENTRY);
     int count = 0;
     int rank = 0;
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/ServiceMove.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/ServiceMove.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.buckthornferry.config.EndpointDeclaration;
 import org.buckthornferry.config.RolloutDeclaration;
 import org.buckthornferry.config.ServiceDeclaration;
 import org.buckthornferry.peer.RolloutReport.RouteReading;
@@ -13,8 +14,21 @@
   /** The requests of an unproven version that may run at once over the fleet. */
   static final int BASE_MAX_RUNNING = 8;
 
-  /** One more request may run at once for this many ended requests without a fault. */
-  private static final int ENDED_PER_EXTRA_RUNNING = 4;
+  /**
+   * The most requests of the new version that run at once before the move is done. All of them fail
+   * when a fault begins under load, and about 8 more are dispatched before every instance has
+   * stopped; together they stay within 20 failed requests.
+   */
+  static final int MAX_RUNNING = 12;
+
+  /** In a large fleet this part of the new version's declared concurrency may run at once. */
+  private static final int CAPACITY_PER_RUNNING = 200;
+
+  /** One more request may run at once for this many good requests since the last bad one. */
+  private static final int GOOD_PER_EXTRA_RUNNING = 4;
+
+  /** An instance runs one request at once until this many good ones follow a bad one. */
+  private static final int GOOD_AFTER_BAD = 8;
 
   private final ServiceDeclaration service;
   private final RolloutDeclaration rollout;
@@ -23,16 +37,19 @@
   private final Map<String, RouteCounts> oldCounts = new HashMap<>();
   private final Map<String, RouteCounts> newCounts = new HashMap<>();
   private final MoveEvidence evidence;
+  private final int maxRunning;
   private RolloutState state;
   private int fleetMaxRunning = BASE_MAX_RUNNING;
   private long stepStartedMillis;
   private boolean provisional;
   private boolean reportDue;
+  private long localGoodSinceBad = GOOD_AFTER_BAD;
 
   ServiceMove(ServiceDeclaration service) {
     this.service = service;
     this.rollout = service.rollout().orElseThrow();
     this.evidence = new MoveEvidence(rollout);
+    this.maxRunning = Math.max(MAX_RUNNING, newCapacity(service) / CAPACITY_PER_RUNNING);
     this.state = RolloutState.pending(service);
   }
 
@@ -117,6 +134,9 @@
         (current, one) -> current.plus(one));
     if (isNew && (request.failed() || slow)) {
       reportDue = true;
+      localGoodSinceBad = 0;
+    } else if (isNew) {
+      localGoodSinceBad++;
     }
   }
 
@@ -142,10 +162,29 @@
     fleetMaxRunning = newFleetMaxRunning;
   }
 
-  /** Raises the bound of concurrent requests as the evidence grows. */
+  /**
+   * Returns the bound of concurrent requests that the evidence has earned. It falls back to the
+   * base with every bad request, since a fault that begins under load would fail all that run at
+   * once.
+   */
   int earnedMaxRunning() {
-    long extra = evidence.newEnded() / ENDED_PER_EXTRA_RUNNING;
-    return (int) Math.min(1 << 20, BASE_MAX_RUNNING + extra);
+    long extra = evidence.goodSinceBad() / GOOD_PER_EXTRA_RUNNING;
+    return (int) Math.min(maxRunning, BASE_MAX_RUNNING + extra);
+  }
+
+  /** Returns whether this instance has seen a bad request that few good ones have followed. */
+  boolean isCautious() {
+    return localGoodSinceBad < GOOD_AFTER_BAD;
+  }
+
+  private static int newCapacity(ServiceDeclaration service) {
+    int capacity = 0;
+    for (EndpointDeclaration endpoint : service.endpoints()) {
+      if (endpoint.version().equals(service.rollout().orElseThrow().toVersion())) {
+        capacity += endpoint.maxConcurrent();
+      }
+    }
+    return capacity;
   }
 
   private static RouteReading reading(String route, boolean newVersion, RouteCounts counts) {
