Add peer transport, membership and configuration spread

Instances need to find each other, to learn of deaths and departures and to receive configuration revisions without a store call from each of them.

--- a/buckthornferry/src/main/java/org/buckthornferry/config/ConfigSnapshot.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/ConfigSnapshot.java
@@ -8,8 +8,10 @@
  *
  * @param revision grows by one with every publish; 0 before the first
  * @param attemptId identifies the publish that created the revision
+ * @param digest the digest of the encoded revision; 0 when it was never encoded
  */
-public record ConfigSnapshot(long revision, String attemptId, Declarations declarations) {
+public record ConfigSnapshot(
+    long revision, String attemptId, Declarations declarations, long digest) {
   /** The state before any revision is known. */
   public static final ConfigSnapshot NONE = new ConfigSnapshot(0, "", Declarations.EMPTY);
 
@@ -22,4 +24,9 @@
     Checks.notNull(attemptId, "attemptId");
     Checks.notNull(declarations, "declarations");
   }
+
+  /** Creates a snapshot that was never encoded. */
+  public ConfigSnapshot(long revision, String attemptId, Declarations declarations) {
+    this(revision, attemptId, declarations, 0);
+  }
 }
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/JsonFile.java
@@ -0,0 +1,143 @@
+package org.buckthornferry.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SchemaValidatorsConfig;
+import com.networknt.schema.SpecVersion.VersionFlag;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Reads JSON files and checks them against the schemas beside this class. */
+final class JsonFile {
+  /** The largest file, in bytes; bounds the memory for one file. */
+  static final long MAX_FILE_BYTES = 16 << 20;
+
+  /** A file with more problems than this is reported with the first ones only. */
+  private static final int MAX_PROBLEMS = 1_000;
+
+  private static final ObjectReader READER =
+      Json.MAPPER
+          .reader()
+          .with(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .with(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY);
+
+  private JsonFile() {}
+
+  /** Returns the content of a file, or empty after adding a problem. */
+  static Optional<byte[]> read(Path file, String name, List<ConfigProblem> problems) {
+    try {
+      long sizeBytes = Files.size(file);
+      if (sizeBytes > MAX_FILE_BYTES) {
+        problems.add(
+            new ConfigProblem(
+                name, "$", sizeBytes + " bytes", "at most " + MAX_FILE_BYTES + " bytes"));
+        return Optional.empty();
+      }
+      return Optional.of(Files.readAllBytes(file));
+    } catch (IOException e) {
+      problems.add(new ConfigProblem(name, "$", e.getClass().getSimpleName(), "a readable file"));
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the tree in {@code content} when it satisfies a schema, or adds every problem. */
+  static Optional<JsonNode> parse(
+      String name, byte[] content, String schemaResource, List<ConfigProblem> problems) {
+    JsonNode tree;
+    try {
+      tree = READER.readTree(content);
+    } catch (JsonProcessingException e) {
+      problems.add(new ConfigProblem(name, "$", describe(e), "valid JSON without double keys"));
+      return Optional.empty();
+    } catch (IOException e) {
+      problems.add(new ConfigProblem(name, "$", "unreadable bytes", "valid JSON in UTF-8"));
+      return Optional.empty();
+    }
+    int before = problems.size();
+    for (ValidationMessage message : schema(schemaResource).validate(tree)) {
+      if (problems.size() - before >= MAX_PROBLEMS) {
+        break;
+      }
+      problems.add(problemOf(name, message));
+    }
+    return problems.size() > before ? Optional.empty() : Optional.of(tree);
+  }
+
+  /** Returns a JSON resource beside this class. */
+  static JsonNode resource(String resource) {
+    try (InputStream in = JsonFile.class.getResourceAsStream(resource)) {
+      return Json.MAPPER.readTree(in);
+    } catch (IOException e) {
+      throw new IllegalStateException("resource " + resource + " is unreadable", e);
+    }
+  }
+
+  private static JsonSchema schema(String resource) {
+    SchemaValidatorsConfig config = SchemaValidatorsConfig.builder().locale(Locale.ENGLISH).build();
+    return JsonSchemaFactory.getInstance(VersionFlag.V202012).getSchema(resource(resource), config);
+  }
+
+  private static ConfigProblem problemOf(String name, ValidationMessage message) {
+    JsonNode value = message.getInstanceNode();
+    String path = message.getInstanceLocation().toString();
+    return new ConfigProblem(name, path, valueOf(message, value), allowedBy(message));
+  }
+
+  private static String valueOf(ValidationMessage message, JsonNode value) {
+    String property = message.getProperty();
+    return switch (message.getType()) {
+      case "additionalProperties" -> "property " + property;
+      case "required" -> "no property " + property;
+      default -> value == null ? "nothing" : value.toString();
+    };
+  }
+
+  private static String allowedBy(ValidationMessage message) {
+    JsonNode rule = message.getSchemaNode();
+    String text = rule == null ? "" : rule.isTextual() ? rule.textValue() : rule.toString();
+    return switch (message.getType()) {
+      case "type" -> "type " + text;
+      case "enum" -> "one of " + text;
+      case "pattern" -> "text matching " + text;
+      case "minimum" -> "at least " + text;
+      case "maximum" -> "at most " + text;
+      case "exclusiveMinimum" -> "above " + text;
+      case "exclusiveMaximum" -> "below " + text;
+      case "minLength", "minItems" -> "a length of at least " + text;
+      case "maxLength", "maxItems" -> "a length of at most " + text;
+      case "required" -> "the property " + message.getProperty();
+      case "additionalProperties" -> "only the properties of the schema";
+      default -> message.getMessage();
+    };
+  }
+
+  private static String describe(JsonProcessingException e) {
+    String where =
+        e.getLocation() == null
+            ? ""
+            : " at line "
+                + e.getLocation().getLineNr()
+                + ", column "
+                + e.getLocation().getColumnNr();
+    return e.getOriginalMessage() + where;
+  }
+
+  /** Returns the problems as an exception when there are any. */
+  static void throwIfAny(List<ConfigProblem> problems) {
+    if (!problems.isEmpty()) {
+      throw new ConfigException(new ArrayList<>(problems));
+    }
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/membership/Member.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/Member.java
@@ -29,4 +29,18 @@
     Checks.notEmpty(region, "region");
     Checks.notNull(state, "state");
   }
+
+  /** Returns this member in another state. */
+  public Member withState(MemberState newState) {
+    return new Member(
+        instanceId,
+        peerAddress,
+        failureDomain,
+        region,
+        incarnation,
+        refutations,
+        newState,
+        storeReachable,
+        storeObservedNanos);
+  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/Hello.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/Hello.java
@@ -29,6 +29,6 @@
   }
 
   static Hello decode(MessageUnpacker unpacker) throws IOException {
-    return new Hello(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString());
+    return new Hello(Fields.name(unpacker), Fields.counter(unpacker), Fields.name(unpacker));
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -5,7 +5,11 @@
 
 /** The closed set of message types with their codes on the wire. */
 public enum MessageType {
-  HELLO(1, Hello::decode);
+  HELLO(1, Hello::decode),
+  HEARTBEAT(2, Heartbeat::decode),
+  MEMBER_UPDATE(3, MemberUpdate::decode),
+  CONFIG_REQUEST(4, ConfigRequest::decode),
+  CONFIG_REPLY(5, ConfigReply::decode);
 
   private static final MessageType[] BY_CODE = new MessageType[64];
 
