--- a/buckthornferry/src/main/java/org/buckthornferry/membership/MemberRow.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/MemberRow.java
@@ -18,6 +18,7 @@
   long lastHeardNanos;
   boolean heardDirectly;
   long expectedSinceNanos;
+  long listedOnlySinceNanos;
   long lastSequence = -1;
   boolean storeReachable;
   long storeObservedNanos;
@@ -34,6 +35,7 @@
     this.stateSinceNanos = nowNanos;
     this.lastHeardNanos = nowNanos;
     this.expectedSinceNanos = nowNanos;
+    this.listedOnlySinceNanos = nowNanos;
     this.unlistedSinceNanos = nowNanos;
     this.lastToldNanos = nowNanos - NANOS_PER_MILLI * MemberEntry.MAX_AGE_MILLIS;
     this.storeObservedNanos = nowNanos - MemberEntry.MAX_AGE_MILLIS * NANOS_PER_MILLI;
@@ -61,6 +63,7 @@
   void shift(long pauseNanos) {
     lastHeardNanos += pauseNanos;
     expectedSinceNanos += pauseNanos;
+    listedOnlySinceNanos += pauseNanos;
     stateSinceNanos += pauseNanos;
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/membership/MembershipController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/MembershipController.java
@@ -49,8 +49,8 @@
   /** An observation of the key-value service counts for one second (section 4.3). */
   private static final long STORE_FLAG_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** Keeps 4 heartbeats a second to 19 peers below 3 KB/s of observations during an outage. */
-  private static final int STORE_FLAGS_PER_HEARTBEAT = 4;
+  /** Keeps 4 heartbeats a second to 19 peers below 5 KB/s of observations during an outage. */
+  private static final int STORE_FLAGS_PER_HEARTBEAT = 8;
 
   /** Keeps a dead member long enough that no instance list or peer still names it as alive. */
   private static final long FORGET_DEAD_NANOS = TimeUnit.MINUTES.toNanos(10);
@@ -61,6 +61,12 @@
   /** Covers faults of the instance list before its statement alone ends a remote member. */
   private static final long REMOTE_ABSENT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+  /**
+   * A running member of this region is reported by its own heartbeats, by gossip or by a repair in
+   * this time. One that only the instance list names has ended before this process started.
+   */
+  private static final long LISTED_ONLY_NANOS = TimeUnit.SECONDS.toNanos(15);
+
   private static final int REPRESENTATIVES = 2;
   private static final int REMOTE_REFRESH_ENTRIES = 4;
 
@@ -491,6 +497,10 @@
     if (row.state == MemberState.DEAD) {
       return;
     }
+    if (row.incarnation == 0 && nowNanos - row.listedOnlySinceNanos >= LISTED_ONLY_NANOS) {
+      row.moveTo(MemberState.DEAD, nowNanos);
+      return;
+    }
     boolean expected = peers.contains(row.instanceId);
     long silentNanos = row.silentNanos(nowNanos);
     if (expected && silentNanos >= deadNanos) {
