--- a/buckthornferry/src/main/java/org/buckthornferry/node/EntryNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/EntryNode.java
@@ -32,6 +32,7 @@
   private static final long WATCH_TIMEOUT_MILLIS = 20_000;
   private static final long WATCH_RETRY_MILLIS = 500;
   private static final int IO_THREADS = 2;
+  private static final long IDLE_TIMEOUT_MILLIS = 120_000;
 
   private final Settings settings;
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
@@ -52,7 +53,7 @@
     this.callerServer =
         new HttpServer(
             Addresses.parse(settings.callerAddress()),
-            new HttpLimits(16_384, 1 << 20, 4_096, 120_000),
+            limits(settings.limits()),
             Optional.empty(),
             eventLoops,
             callerHandler);
@@ -81,6 +82,14 @@
     LOG.infof("instance.stopped id=%s", settings.instanceId());
   }
 
+  private static HttpLimits limits(Settings.Limits limits) {
+    return new HttpLimits(
+        limits.maxHeaderBytes(),
+        Math.toIntExact(limits.maxBodyBytes()),
+        limits.maxConnections(),
+        IDLE_TIMEOUT_MILLIS);
+  }
+
   private void begin(CallerRequest request, HttpExchange exchange) {
     new RequestFlow(request, exchange, connector, clock, controlLoop, selection).begin();
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -6,6 +6,10 @@
 /** The closed set of message types with their codes on the wire. */
 public enum MessageType {
   HELLO(1, Hello::decode),
+  HEARTBEAT(2, Heartbeat::decode),
+  MEMBER_UPDATE(3, MemberUpdate::decode),
+  CONFIG_REQUEST(4, ConfigRequest::decode),
+  CONFIG_REPLY(5, ConfigReply::decode),
   VERSION_FAULT(40, VersionFault::decode),
   ROLLOUT_STATE(41, RolloutStateMessage::decode),
   ROLLOUT_REPORT(42, RolloutReport::decode);
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -5,7 +5,14 @@
 
 /** A message between two instances. Every implementation is an immutable record. */
 public sealed interface PeerMessage
-    permits Hello, VersionFault, RolloutStateMessage, RolloutReport {
+    permits Hello,
+        VersionFault,
+        RolloutStateMessage,
+        RolloutReport,
+        Heartbeat,
+        MemberUpdate,
+        ConfigRequest,
+        ConfigReply {
   /** Returns the type, which decides the encoding. */
   MessageType type();
 
--- a/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
+++ b/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
@@ -2,10 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
-import org.buckthornferry.config.Json;
 import org.buckthornferry.config.Settings;
 import org.buckthornferry.node.EntryNode;
 
@@ -22,8 +20,7 @@
 
   @Override
   public ExitCode run() throws Exception {
-    Settings settings =
-        Json.MAPPER.readValue(Files.readAllBytes(Path.of(settingsFile)), Settings.class);
+    Settings settings = Settings.load(Path.of(settingsFile));
     EntryNode node = new EntryNode(settings);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
