--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/endpoint/HealthController.java
@@ -0,0 +1,347 @@
+package org.buckthornferry.endpoint;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.buckthornferry.config.ConfigSnapshot;
+import org.buckthornferry.config.EndpointDeclaration;
+import org.buckthornferry.config.ServiceDeclaration;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.control.Controller;
+import org.buckthornferry.peer.EndpointStateNotice;
+import org.buckthornferry.peer.PeerMessage;
+import org.buckthornferry.peer.PeerSender;
+import org.buckthornferry.shard.ShardKind;
+import org.buckthornferry.shard.ShardMap;
+import org.buckthornferry.shard.ShardOwner;
+import org.buckthornferry.util.Checks;
+import org.jboss.logging.Logger;
+
+/**
+ * Decides the state of every endpoint. The shard owner of an endpoint decides from its load reports
+ * and from what it and others observe, and tells the other instances; the others act at once on
+ * what they observe and then follow the owner. The owner of a service's shard decides ejections, so
+ * that the share of ejected endpoints is bounded in the whole fleet.
+ */
+public final class HealthController implements Controller {
+  private static final Logger LOG = Logger.getLogger(HealthController.class);
+  private static final long EJECTION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final String selfId;
+  private final Blackboard blackboard;
+  private final Consumer<EndpointStates> states;
+  private final NoticeOutbox outbox;
+  private final StragglerDetector stragglers = new StragglerDetector();
+  private final Map<String, Tracked> endpoints = new TreeMap<>();
+  private final Set<String> changed = new HashSet<>();
+  private final Set<String> timed = new HashSet<>();
+  private Map<String, EndpointStatus> published = new HashMap<>();
+  private long revision;
+  private long configRevision = -1;
+  private long sequence;
+  private long ejectionAtNanos;
+
+  /** Creates a controller that takes the endpoints from the configuration. */
+  public HealthController(String selfId, Blackboard blackboard, PeerSender sender) {
+    this.selfId = Checks.notEmpty(selfId, "selfId");
+    this.blackboard = Checks.notNull(blackboard, "blackboard");
+    this.states = blackboard.writerOf(EndpointStates.ENTRY);
+    this.outbox = new NoticeOutbox(selfId, blackboard, sender);
+  }
+
+  private static final class Tracked {
+    final String serviceId;
+    final EndpointDeclaration declaration;
+    final EndpointHealth health;
+    final LoadTracker load = new LoadTracker();
+    long noticeFencing = -1;
+    long noticeSequence;
+
+    Tracked(String serviceId, EndpointDeclaration declaration) {
+      this.serviceId = serviceId;
+      this.declaration = declaration;
+      this.health = new EndpointHealth(declaration);
+    }
+  }
+
+  /** Handles a load report, which only the shard owner of the endpoint reads. */
+  public void onReport(LoadReport report, long nowNanos) {
+    Tracked tracked = endpoints.get(report.endpointId());
+    if (tracked == null) {
+      return;
+    }
+    tracked.load.onReport(report.running(), report.observedNanos());
+    tracked.health.onReport(report, nowNanos);
+    changed.add(report.endpointId());
+  }
+
+  /** Handles the start of a request of this instance. */
+  public void onStarted(String endpointId, long nowNanos) {
+    Tracked tracked = endpoints.get(endpointId);
+    if (tracked != null) {
+      tracked.load.onStarted(nowNanos);
+    }
+  }
+
+  /** Handles the end of a request of this instance, however it ended. */
+  public void onFinished(String endpointId, long nowNanos) {
+    Tracked tracked = endpoints.get(endpointId);
+    if (tracked != null) {
+      tracked.load.onFinished(nowNanos);
+    }
+  }
+
+  /**
+   * Handles the measured speed of a request of this instance that succeeded.
+   *
+   * @param decodeNanosPerToken the time per generated token; 0 when none was measured
+   */
+  public void onSuccess(String endpointId, double decodeNanosPerToken, long nowNanos) {
+    Tracked tracked = endpoints.get(endpointId);
+    if (tracked == null || decodeNanosPerToken <= 0) {
+      return;
+    }
+    stragglers.observe(endpointId, decodeNanosPerToken);
+    EndpointState before = tracked.health.status().state();
+    tracked.health.onSpeed(decodeNanosPerToken);
+    if (before == EndpointState.WARM && tracked.health.status().state() == EndpointState.COLD) {
+      observed(endpointId, EndpointState.COLD, nowNanos);
+    }
+  }
+
+  /** Handles a request of this instance that failed without ending the endpoint's process. */
+  public void onFailure(String endpointId, long nowNanos) {
+    Tracked tracked = endpoints.get(endpointId);
+    if (tracked != null) {
+      tracked.health.onFailure(nowNanos);
+      reportFailed(endpointId, tracked, nowNanos);
+    }
+  }
+
+  /** Handles the end of an endpoint's process, seen from a connection. */
+  public void onCrash(String endpointId, long nowNanos) {
+    Tracked tracked = endpoints.get(endpointId);
+    if (tracked != null) {
+      tracked.health.onCrash(nowNanos);
+      reportFailed(endpointId, tracked, nowNanos);
+    }
+  }
+
+  /** Returns the estimated requests of all instances that run on an endpoint. */
+  public int estimatedRunning(String endpointId) {
+    Tracked tracked = endpoints.get(endpointId);
+    return tracked == null ? 0 : tracked.load.running();
+  }
+
+  @Override
+  public void onMessage(String fromInstanceId, PeerMessage message, long nowNanos) {
+    if (!(message instanceof EndpointStateNotice notice)) {
+      return;
+    }
+    Tracked tracked = endpoints.get(notice.endpointId());
+    if (tracked == null) {
+      return;
+    }
+    changed.add(notice.endpointId());
+    if (notice.fencingNumber() == 0) {
+      onObservation(tracked, notice, nowNanos);
+    } else if (!isOwned(notice.endpointId()) && isNewer(tracked, notice)) {
+      tracked.noticeFencing = notice.fencingNumber();
+      tracked.noticeSequence = notice.sequence();
+      tracked.health.adopt(new EndpointStatus(notice.state(), notice.budgetConcurrent()));
+    }
+  }
+
+  @Override
+  public void onTick(long nowNanos) {
+    takeConfiguration();
+    for (String endpointId : timed) {
+      endpoints.get(endpointId).health.onTick(isOwned(endpointId), nowNanos);
+      changed.add(endpointId);
+    }
+    if (ejectionAtNanos - nowNanos <= 0) {
+      ejectionAtNanos = nowNanos + EJECTION_NANOS;
+      ejectStragglers(nowNanos);
+    }
+    publish(nowNanos);
+    outbox.onTick(nowNanos);
+  }
+
+  @Override
+  public Map<String, Object> dump() {
+    Map<String, Object> dump = new TreeMap<>();
+    endpoints.forEach(
+        (endpointId, tracked) -> {
+          EndpointStatus status = tracked.health.status();
+          dump.put(
+              endpointId,
+              Map.of(
+                  "state", status.state().name(),
+                  "budget", status.budgetConcurrent(),
+                  "running", tracked.load.running(),
+                  "owned", isOwned(endpointId)));
+        });
+    return Map.of("endpoints", dump);
+  }
+
+  private void takeConfiguration() {
+    ConfigSnapshot snapshot = blackboard.read(ConfigSnapshot.ENTRY);
+    if (snapshot.revision() == configRevision) {
+      return;
+    }
+    configRevision = snapshot.revision();
+    Set<String> declared = new HashSet<>();
+    for (ServiceDeclaration service : snapshot.declarations().services()) {
+      for (EndpointDeclaration declaration : service.endpoints()) {
+        declared.add(declaration.id());
+        Tracked tracked = endpoints.get(declaration.id());
+        if (tracked == null || !tracked.declaration.equals(declaration)) {
+          tracked = new Tracked(service.id(), declaration);
+          endpoints.put(declaration.id(), tracked);
+        }
+        tracked.health.setDrained(snapshot.declarations().isDrained(declaration.failureDomain()));
+        changed.add(declaration.id());
+      }
+    }
+    endpoints.keySet().retainAll(declared);
+    timed.retainAll(declared);
+  }
+
+  private void onObservation(Tracked tracked, EndpointStateNotice notice, long nowNanos) {
+    EndpointState state = tracked.health.status().state();
+    switch (notice.state()) {
+      case FAILED -> tracked.health.onCrash(nowNanos);
+      case STRAGGLING -> ejectWithinBound(tracked, nowNanos);
+      case COLD -> {
+        if (state == EndpointState.WARM) {
+          tracked.health.restartCold();
+        }
+      }
+      default -> {}
+    }
+  }
+
+  private static boolean isNewer(Tracked tracked, EndpointStateNotice notice) {
+    return notice.fencingNumber() != tracked.noticeFencing
+        ? notice.fencingNumber() > tracked.noticeFencing
+        : notice.sequence() > tracked.noticeSequence;
+  }
+
+  private void reportFailed(String endpointId, Tracked tracked, long nowNanos) {
+    changed.add(endpointId);
+    if (tracked.health.status().state() == EndpointState.FAILED) {
+      observed(endpointId, EndpointState.FAILED, nowNanos);
+    }
+  }
+
+  /** Tells the owner of an endpoint what this instance observed. */
+  private void observed(String endpointId, EndpointState state, long nowNanos) {
+    changed.add(endpointId);
+    Optional<ShardOwner> owner = ownerOf(endpointId);
+    if (owner.isPresent() && !owner.get().instanceId().equals(selfId)) {
+      EndpointStateNotice notice = new EndpointStateNotice(endpointId, state, 0, 0, ++sequence);
+      outbox.send(owner.get().instanceId(), notice, nowNanos);
+    }
+  }
+
+  private void ejectStragglers(long nowNanos) {
+    Map<String, List<String>> kinds = new TreeMap<>();
+    endpoints.forEach(
+        (endpointId, tracked) -> {
+          if (isOwned(tracked.serviceId) && tracked.health.status().state().takesNewWork()) {
+            String kind = CostEstimator.kindOf(tracked.serviceId, tracked.declaration);
+            kinds.computeIfAbsent(kind, key -> new ArrayList<>()).add(endpointId);
+          }
+        });
+    for (List<String> kind : kinds.values()) {
+      for (String endpointId : stragglers.stragglers(kind)) {
+        Tracked tracked = endpoints.get(endpointId);
+        if (ejectWithinBound(tracked, nowNanos)) {
+          stragglers.forget(endpointId);
+          observed(endpointId, EndpointState.STRAGGLING, nowNanos);
+        }
+      }
+    }
+  }
+
+  private boolean ejectWithinBound(Tracked tracked, long nowNanos) {
+    int total = 0;
+    int ejected = 0;
+    for (Tracked other : endpoints.values()) {
+      if (other.serviceId.equals(tracked.serviceId)) {
+        total++;
+        ejected += other.health.status().state() == EndpointState.STRAGGLING ? 1 : 0;
+      }
+    }
+    if (ejected >= StragglerDetector.maxEjected(total)) {
+      return false;
+    }
+    tracked.health.eject(nowNanos);
+    changed.add(tracked.declaration.id());
+    return true;
+  }
+
+  private void publish(long nowNanos) {
+    if (changed.isEmpty()) {
+      return;
+    }
+    Map<String, EndpointStatus> next = null;
+    for (String endpointId : changed) {
+      Tracked tracked = endpoints.get(endpointId);
+      if (tracked == null) {
+        continue;
+      }
+      EndpointStatus status = tracked.health.status();
+      trackTime(endpointId, tracked);
+      if (!status.equals(published.get(endpointId))) {
+        LOG.debugf(
+            "endpoint.state endpoint=%s state=%s budget=%d",
+            endpointId, status.state(), status.budgetConcurrent());
+        next = next == null ? new HashMap<>(published) : next;
+        next.put(endpointId, status);
+        announce(endpointId, status, nowNanos);
+      }
+    }
+    changed.clear();
+    if (next == null && published.keySet().equals(endpoints.keySet())) {
+      return;
+    }
+    published = next == null ? new HashMap<>(published) : next;
+    published.keySet().retainAll(endpoints.keySet());
+    states.accept(new EndpointStates(++revision, published));
+  }
+
+  private void trackTime(String endpointId, Tracked tracked) {
+    if (tracked.health.isTimed()) {
+      timed.add(endpointId);
+    } else {
+      timed.remove(endpointId);
+    }
+  }
+
+  private void announce(String endpointId, EndpointStatus status, long nowNanos) {
+    Optional<ShardOwner> owner = ownerOf(endpointId);
+    if (owner.isPresent() && owner.get().instanceId().equals(selfId)) {
+      long fencingNumber = owner.get().fencingNumber();
+      outbox.broadcast(
+          new EndpointStateNotice(
+              endpointId, status.state(), status.budgetConcurrent(), fencingNumber, ++sequence),
+          nowNanos);
+    }
+  }
+
+  private boolean isOwned(String key) {
+    return ownerOf(key).map(owner -> owner.instanceId().equals(selfId)).orElse(false);
+  }
+
+  private Optional<ShardOwner> ownerOf(String key) {
+    return blackboard.read(ShardMap.ENTRY).ownerOf(ShardKind.ENDPOINT, key);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/endpoint/Quarantine.java
@@ -0,0 +1,313 @@
+package org.buckthornferry.endpoint;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.control.Controller;
+import org.buckthornferry.membership.Member;
+import org.buckthornferry.membership.MembershipView;
+import org.buckthornferry.peer.PeerMessage;
+import org.buckthornferry.peer.PeerSender;
+import org.buckthornferry.peer.QuarantineNotice;
+import org.buckthornferry.peer.QuarantineNotice.Kind;
+import org.buckthornferry.util.Checks;
+import org.jboss.logging.Logger;
+
+/**
+ * Decides which content may not run because it crashes endpoints. Content that ran on an endpoint
+ * when it crashed is suspect. A suspect runs alone: the other instances confirm that they run
+ * nothing on its endpoint and keep away from it. Only a crash of an endpoint that ran nothing but
+ * the suspect quarantines it, so other content is never blamed.
+ */
+public final class Quarantine implements Controller {
+  private static final Logger LOG = Logger.getLogger(Quarantine.class);
+
+  /** The most hashes that are remembered; the oldest give way. */
+  private static final int MAX_HASHES = 10_000;
+
+  private final String selfId;
+  private final long validNanos;
+  private final Blackboard blackboard;
+  private final PeerSender sender;
+  private final NoticeOutbox outbox;
+  private final LinkedHashMap<String, Entry> hashes = new LinkedHashMap<>();
+  private final Map<String, Map<String, String>> running = new HashMap<>();
+  private final Map<String, Isolation> isolations = new TreeMap<>();
+  private final Map<String, Reserved> reservedByPeers = new HashMap<>();
+  private Set<String> knownPeers = Set.of();
+  private long lastSession;
+
+  private record Entry(Verdict verdict, long untilNanos) {}
+
+  private record Reserved(String instanceId, long session, long untilNanos) {}
+
+  /**
+   * Creates an empty quarantine.
+   *
+   * @param quarantineMillis how long a hash stays suspect or quarantined, in milliseconds
+   */
+  public Quarantine(
+      String selfId, long quarantineMillis, Blackboard blackboard, PeerSender sender) {
+    this.selfId = Checks.notEmpty(selfId, "selfId");
+    Checks.positive(quarantineMillis, "quarantineMillis");
+    this.validNanos = TimeUnit.MILLISECONDS.toNanos(quarantineMillis);
+    this.blackboard = Checks.notNull(blackboard, "blackboard");
+    this.sender = Checks.notNull(sender, "sender");
+    this.outbox = new NoticeOutbox(selfId, blackboard, sender);
+  }
+
+  /** Returns what is known about a content hash. */
+  public Verdict verdict(String contentHash, long nowNanos) {
+    Entry entry = hashes.get(contentHash);
+    return entry == null || entry.untilNanos - nowNanos <= 0 ? Verdict.CLEAR : entry.verdict;
+  }
+
+  /** Handles the start of a request of this instance. */
+  public void onStarted(String endpointId, String requestId, String contentHash) {
+    running.computeIfAbsent(endpointId, id -> new HashMap<>()).put(requestId, contentHash);
+  }
+
+  /** Handles the end of a request of this instance that did not end with a crash. */
+  public void onFinished(String endpointId, String requestId, boolean success, long nowNanos) {
+    Map<String, String> requests = running.getOrDefault(endpointId, Map.of());
+    String contentHash = requests.get(requestId);
+    if (contentHash == null) {
+      return;
+    }
+    requests.remove(requestId);
+    if (success && verdict(contentHash, nowNanos) == Verdict.SUSPECT) {
+      hashes.remove(contentHash);
+      LOG.infof("quarantine.cleared hash=%s", contentHash);
+      broadcast(Kind.CLEARED, contentHash, 0, nowNanos);
+    }
+    endIsolation(contentHash, nowNanos);
+  }
+
+  /** Handles the end of an endpoint's process; every request that ran there has ended. */
+  public void onCrash(String endpointId, long nowNanos) {
+    Map<String, String> requests = running.remove(endpointId);
+    if (requests == null) {
+      return;
+    }
+    Set<String> contents = new TreeSet<>(requests.values());
+    for (String contentHash : contents) {
+      boolean blamed =
+          contents.size() == 1
+              && requests.size() == 1
+              && ranAlone(contentHash, endpointId, nowNanos);
+      put(contentHash, blamed ? Verdict.QUARANTINED : Verdict.SUSPECT, validNanos, nowNanos);
+      LOG.warnf("quarantine.marked hash=%s endpoint=%s blamed=%s", contentHash, endpointId, blamed);
+      Kind kind = blamed ? Kind.QUARANTINED : Kind.SUSPECT;
+      broadcast(kind, contentHash, TimeUnit.NANOSECONDS.toMillis(validNanos), nowNanos);
+      endIsolation(contentHash, nowNanos);
+    }
+  }
+
+  /** Starts to reserve an endpoint for a suspect; has no effect when one is reserved already. */
+  public void isolate(String contentHash, String endpointId, long nowNanos) {
+    isolations.computeIfAbsent(
+        contentHash, hash -> new Isolation(endpointId, ++lastSession, nowNanos));
+    renewIsolations(nowNanos);
+  }
+
+  /** Returns the endpoint that is being reserved for a suspect, or empty. */
+  public Optional<String> isolatedEndpoint(String contentHash) {
+    return Optional.ofNullable(isolations.get(contentHash)).map(isolation -> isolation.endpointId);
+  }
+
+  /** Returns whether the suspect would run alone on its reserved endpoint. */
+  public boolean isAlone(String contentHash, long nowNanos) {
+    Isolation isolation = isolations.get(contentHash);
+    return isolation != null
+        && running.getOrDefault(isolation.endpointId, Map.of()).isEmpty()
+        && isolation.isComplete(peers(), nowNanos);
+  }
+
+  /** Gives a reserved endpoint back. */
+  public void endIsolation(String contentHash, long nowNanos) {
+    Isolation isolation = isolations.remove(contentHash);
+    if (isolation != null) {
+      QuarantineNotice notice =
+          new QuarantineNotice(
+              Kind.ISOLATE_END, contentHash, isolation.endpointId, 0, 0, isolation.session);
+      outbox.broadcast(notice, nowNanos);
+    }
+  }
+
+  /** Returns whether an endpoint is reserved for a suspect, by any instance. */
+  public boolean isReserved(String endpointId, long nowNanos) {
+    Reserved reserved = reservedByPeers.get(endpointId);
+    if (reserved != null && reserved.untilNanos - nowNanos > 0) {
+      return true;
+    }
+    return isolations.values().stream().anyMatch(own -> own.endpointId.equals(endpointId));
+  }
+
+  /** Returns the endpoints that are reserved for suspects, by any instance. */
+  public Set<String> reservedEndpoints(long nowNanos) {
+    Set<String> ids = new HashSet<>();
+    reservedByPeers.forEach(
+        (endpointId, reserved) -> {
+          if (reserved.untilNanos - nowNanos > 0) {
+            ids.add(endpointId);
+          }
+        });
+    isolations.values().forEach(own -> ids.add(own.endpointId));
+    return ids;
+  }
+
+  @Override
+  public void onMessage(String fromInstanceId, PeerMessage message, long nowNanos) {
+    if (!(message instanceof QuarantineNotice notice)) {
+      return;
+    }
+    long noticeNanos =
+        TimeUnit.MILLISECONDS.toNanos(
+            Math.min(notice.validMillis(), TimeUnit.NANOSECONDS.toMillis(validNanos)));
+    switch (notice.kind()) {
+      case SUSPECT -> {
+        if (verdict(notice.contentHash(), nowNanos) == Verdict.CLEAR) {
+          put(notice.contentHash(), Verdict.SUSPECT, noticeNanos, nowNanos);
+        }
+      }
+      case QUARANTINED -> put(notice.contentHash(), Verdict.QUARANTINED, noticeNanos, nowNanos);
+      case CLEARED -> {
+        if (verdict(notice.contentHash(), nowNanos) == Verdict.SUSPECT) {
+          hashes.remove(notice.contentHash());
+        }
+      }
+      case ISOLATE -> onIsolate(fromInstanceId, notice, nowNanos);
+      case ISOLATE_ACK -> {
+        Isolation isolation = isolations.get(notice.contentHash());
+        if (isolation != null && isolation.session == notice.session()) {
+          isolation.onAck(fromInstanceId, notice.running(), nowNanos);
+        }
+      }
+      default -> {
+        Reserved reserved = reservedByPeers.get(notice.endpointId());
+        if (reserved != null
+            && reserved.instanceId.equals(fromInstanceId)
+            && reserved.session == notice.session()) {
+          reservedByPeers.remove(notice.endpointId());
+        }
+      }
+    }
+  }
+
+  @Override
+  public void onTick(long nowNanos) {
+    outbox.onTick(nowNanos);
+    renewIsolations(nowNanos);
+    reservedByPeers.values().removeIf(reserved -> reserved.untilNanos - nowNanos <= 0);
+    tellNewPeers(nowNanos);
+  }
+
+  @Override
+  public Map<String, Object> dump() {
+    Map<String, Object> dump = new TreeMap<>();
+    hashes.forEach((hash, entry) -> dump.put(hash, entry.verdict.name()));
+    return Map.of("quarantine", dump);
+  }
+
+  private boolean ranAlone(String contentHash, String endpointId, long nowNanos) {
+    Isolation isolation = isolations.get(contentHash);
+    return isolation != null
+        && isolation.endpointId.equals(endpointId)
+        && isolation.isComplete(peers(), nowNanos);
+  }
+
+  /** Answers an isolation; the endpoint of this instance's own isolation is not given away. */
+  private void onIsolate(String from, QuarantineNotice notice, long nowNanos) {
+    boolean own =
+        isolations.values().stream()
+            .anyMatch(isolation -> isolation.endpointId.equals(notice.endpointId()));
+    Reserved other = reservedByPeers.get(notice.endpointId());
+    boolean taken =
+        other != null && !other.instanceId.equals(from) && other.untilNanos - nowNanos > 0;
+    boolean stale =
+        other != null && other.instanceId.equals(from) && other.session > notice.session();
+    if (taken || stale || (own && selfId.compareTo(from) < 0)) {
+      return;
+    }
+    reservedByPeers.put(
+        notice.endpointId(),
+        new Reserved(from, notice.session(), nowNanos + Isolation.VALID_NANOS));
+    int count = running.getOrDefault(notice.endpointId(), Map.of()).size();
+    sender.send(
+        from,
+        new QuarantineNotice(
+            Kind.ISOLATE_ACK,
+            notice.contentHash(),
+            notice.endpointId(),
+            0,
+            count,
+            notice.session()));
+  }
+
+  private void renewIsolations(long nowNanos) {
+    long validMillis = TimeUnit.NANOSECONDS.toMillis(Isolation.VALID_NANOS);
+    isolations.forEach(
+        (hash, isolation) -> {
+          if (isolation.renewWhenDue(nowNanos)) {
+            QuarantineNotice notice =
+                new QuarantineNotice(
+                    Kind.ISOLATE, hash, isolation.endpointId, validMillis, 0, isolation.session);
+            peers().forEach(peer -> sender.send(peer, notice));
+          }
+        });
+  }
+
+  private void tellNewPeers(long nowNanos) {
+    Set<String> peers = peers();
+    if (peers.equals(knownPeers)) {
+      return;
+    }
+    for (String peer : peers) {
+      if (!knownPeers.contains(peer)) {
+        hashes.forEach((hash, entry) -> tell(peer, hash, entry, nowNanos));
+      }
+    }
+    knownPeers = peers;
+  }
+
+  private void tell(String peer, String hash, Entry entry, long nowNanos) {
+    long restMillis = TimeUnit.NANOSECONDS.toMillis(entry.untilNanos - nowNanos);
+    if (restMillis > 0) {
+      Kind kind = entry.verdict == Verdict.QUARANTINED ? Kind.QUARANTINED : Kind.SUSPECT;
+      sender.send(peer, new QuarantineNotice(kind, hash, "", restMillis, 0, 0));
+    }
+  }
+
+  private void put(String contentHash, Verdict verdict, long forNanos, long nowNanos) {
+    Entry known = hashes.get(contentHash);
+    if (known != null && known.verdict == Verdict.QUARANTINED && verdict == Verdict.SUSPECT) {
+      return;
+    }
+    hashes.remove(contentHash);
+    hashes.put(contentHash, new Entry(verdict, nowNanos + forNanos));
+    if (hashes.size() > MAX_HASHES) {
+      hashes.remove(hashes.keySet().iterator().next());
+    }
+  }
+
+  private void broadcast(Kind kind, String contentHash, long validMillis, long nowNanos) {
+    outbox.broadcast(new QuarantineNotice(kind, contentHash, "", validMillis, 0, 0), nowNanos);
+  }
+
+  private Set<String> peers() {
+    Set<String> ids = new TreeSet<>();
+    for (Member member : blackboard.read(MembershipView.ENTRY).running()) {
+      if (!member.instanceId().equals(selfId)) {
+        ids.add(member.instanceId());
+      }
+    }
+    return ids;
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -5,7 +5,12 @@
 
 /** The closed set of message types with their codes on the wire. */
 public enum MessageType {
-  HELLO(1, Hello::decode);
+  HELLO(1, Hello::decode),
+  SHED_PROPOSE(30, ShedPropose::decode),
+  SHED_ACK(31, ShedAck::decode),
+  SHED_LOWER(32, ShedLower::decode),
+  QUARANTINE(33, QuarantineNotice::decode),
+  ENDPOINT_STATE(34, EndpointStateNotice::decode);
 
   private static final MessageType[] BY_CODE = new MessageType[64];
 
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/routing/VersionGate.java
@@ -0,0 +1,36 @@
+package org.buckthornferry.routing;
+
+/** Limits the requests of a version while it is being rolled out. Used on the control thread. */
+public interface VersionGate {
+  /** Allows every version. */
+  VersionGate OPEN =
+      new VersionGate() {
+        @Override
+        public boolean mayDispatch(String serviceId, String version, long nowNanos) {
+          return true;
+        }
+
+        @Override
+        public void dispatched(
+            String requestId, String serviceId, String version, String routePath, long nowNanos) {}
+
+        @Override
+        public void completed(
+            String requestId,
+            String serviceId,
+            String version,
+            RequestOutcome outcome,
+            long nowNanos) {}
+      };
+
+  /** Returns whether the version is within its share and without a known fault. */
+  boolean mayDispatch(String serviceId, String version, long nowNanos);
+
+  /** Counts a dispatched request. */
+  void dispatched(
+      String requestId, String serviceId, String version, String routePath, long nowNanos);
+
+  /** Reports how a dispatched request ended. */
+  void completed(
+      String requestId, String serviceId, String version, RequestOutcome outcome, long nowNanos);
+}
