--- a/buckthornferry/src/main/java/org/buckthornferry/admission/HoldTable.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/admission/HoldTable.java
@@ -9,9 +9,10 @@
 /** The shed levels that this instance acknowledged, by proposer. */
 final class HoldTable {
   /**
-   * How long this instance keeps refusing {@link Tier#BULK} after it drops a hold at {@link
-   * ShedLevel#CRITICAL} of a dead proposer. Another instance that still has that hold refuses
-   * {@link Tier#STANDARD}; the time covers the difference between the views of two members.
+   * How long this instance keeps refusing {@link Tier#BULK} after it drops a hold of a dead
+   * proposer at {@link ShedLevel#STANDARD} or above. Another instance may hold {@link
+   * ShedLevel#CRITICAL} for that proposer, and so refuse {@link Tier#STANDARD}, until it learns of
+   * the death; the time covers the difference between the views of two members.
    */
   static final long DEATH_SPREAD_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -62,10 +63,18 @@
     return level;
   }
 
-  private void keepResidual(Hold dropped, long nowNanos) {
-    if (dropped.level == ShedLevel.CRITICAL) {
+  /**
+   * Handles the level of a peer at the time of joining. The peer may hold it for a proposer that
+   * died before this instance could learn of the proposal.
+   */
+  void onPeerLevel(ShedLevel acknowledged, long nowNanos) {
+    if (acknowledged.refuses(Tier.BULK)) {
       hasResidual = true;
       residualUntilNanos = nowNanos + DEATH_SPREAD_NANOS;
     }
   }
+
+  private void keepResidual(Hold dropped, long nowNanos) {
+    onPeerLevel(dropped.level, nowNanos);
+  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/admission/ServingPeers.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/admission/ServingPeers.java
@@ -35,9 +35,13 @@
     }
   }
 
-  /** Counts an instance named by a peer as serving when membership knows nothing about it. */
+  /**
+   * Counts an instance named by a peer as serving when membership does not show it as running. It
+   * may have resumed after a pause, or may have started just now.
+   */
   void introduce(String instanceId, long nowNanos) {
-    if (!blackboard.read(MembershipView.ENTRY).members().containsKey(instanceId)) {
+    Member member = blackboard.read(MembershipView.ENTRY).members().get(instanceId);
+    if (member == null || !member.state().isRunning()) {
       contact(instanceId, nowNanos);
     }
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/admission/ShedAgreement.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/admission/ShedAgreement.java
@@ -25,6 +25,13 @@
   static final long LOWER_AFTER_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private static final Logger LOG = Logger.getLogger(ShedAgreement.class);
+
+  /**
+   * The least time between the start of a join and its end. Two instances that pause or start at
+   * the same time may not see each other at first; membership shows them to each other by then.
+   */
+  static final long JOIN_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private static final long RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final long WISH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -40,6 +47,7 @@
   private boolean lastWasLower;
   private long epoch;
   private long joinEpoch;
+  private long joinStartNanos;
   private boolean joined;
   private long resendAtNanos;
   private ShedLevel wish = ShedLevel.NONE;
@@ -67,6 +75,7 @@
     lastWasLower = false;
     epoch++;
     joinEpoch = epoch;
+    joinStartNanos = nowNanos;
     acks.clear();
     answered.clear();
     low = false;
@@ -116,7 +125,7 @@
     holds.retain(ids::contains, nowNanos);
     acks.keySet().retainAll(ids);
     informed.retainAll(ids);
-    completeJoin(ids);
+    completeJoin(ids, nowNanos);
     move(ids, nowNanos);
     if (resendAtNanos - nowNanos <= 0) {
       resendAtNanos = nowNanos + RESEND_NANOS;
@@ -125,8 +134,12 @@
   }
 
   void onPropose(String from, ShedPropose message, long nowNanos) {
-    if (message.answersEpoch() != 0 && message.answersEpoch() == joinEpoch && !joined) {
+    // An old answer, even one to an earlier process of this instance, may be out of date.
+    boolean answers =
+        message.answersEpoch() == joinEpoch && message.answersIncarnation() == incarnation;
+    if (answers && !joined) {
       answered.add(from);
+      holds.onPeerLevel(message.acknowledged(), nowNanos);
       message.participants().forEach(id -> peers.introduce(id, nowNanos));
     }
     if (!hold(from, message.level(), message.incarnation(), message.epoch(), nowNanos)) {
@@ -135,7 +148,7 @@
     if (message.joining()) {
       peers.contact(from, nowNanos);
       acks.remove(from);
-      sender.send(from, proposal(false, message.epoch(), List.copyOf(peers.ids(nowNanos))));
+      sender.send(from, answer(message, nowNanos));
       remember(from);
     }
   }
@@ -163,10 +176,11 @@
     return true;
   }
 
-  private void completeJoin(Set<String> ids) {
-    if (!joined && peers.isViewKnown() && answered.containsAll(ids)) {
+  private void completeJoin(Set<String> ids, long nowNanos) {
+    boolean settled = nowNanos - joinStartNanos >= JOIN_SETTLE_NANOS;
+    if (!joined && settled && peers.isViewKnown() && answered.containsAll(ids)) {
       joined = true;
-      LOG.infof("shed.joined service=%s level=%s", serviceId, proposed);
+      LOG.debugf("shed.joined service=%s level=%s", serviceId, proposed);
     }
   }
 
@@ -186,7 +200,7 @@
   }
 
   private void moveTo(ShedLevel level, boolean lower, Set<String> ids, long nowNanos) {
-    LOG.infof("shed.level service=%s from=%s to=%s", serviceId, proposed, level);
+    LOG.debugf("shed.level service=%s from=%s to=%s", serviceId, proposed, level);
     proposed = level;
     lastWasLower = lower;
     epoch++;
@@ -215,7 +229,7 @@
     for (String peer : ids) {
       boolean mustKnow = proposed != ShedLevel.NONE || informed.contains(peer);
       if (!joined && !answered.contains(peer)) {
-        sender.send(peer, proposal(true, 0, List.of()));
+        sender.send(peer, proposal(true));
         remember(peer);
       } else if (mustKnow && !hasAcked(peer)) {
         sender.send(peer, latest());
@@ -231,14 +245,25 @@
   }
 
   private PeerMessage latest() {
-    return lastWasLower
-        ? new ShedLower(serviceId, proposed, incarnation, epoch)
-        : proposal(false, 0, List.of());
+    return lastWasLower ? new ShedLower(serviceId, proposed, incarnation, epoch) : proposal(false);
+  }
+
+  private ShedPropose proposal(boolean joining) {
+    return new ShedPropose(
+        serviceId, proposed, incarnation, epoch, joining, 0, 0, ShedLevel.NONE, List.of());
   }
 
-  private ShedPropose proposal(boolean joining, long answersEpoch, List<String> participants) {
+  private ShedPropose answer(ShedPropose joining, long nowNanos) {
     return new ShedPropose(
-        serviceId, proposed, incarnation, epoch, joining, answersEpoch, participants);
+        serviceId,
+        proposed,
+        incarnation,
+        epoch,
+        false,
+        joining.epoch(),
+        joining.incarnation(),
+        acknowledged(nowNanos),
+        List.copyOf(peers.ids(nowNanos)));
   }
 
   private static ShedLevel lesser(ShedLevel a, ShedLevel b) {
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/ShedPropose.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/ShedPropose.java
@@ -14,6 +14,8 @@
  * @param epoch orders the proposals of one incarnation
  * @param joining whether the sender does not serve yet and asks for the receiver's own proposal
  * @param answersEpoch the epoch of the joining proposal that this one answers, or 0
+ * @param answersIncarnation the incarnation of the joining receiver that this proposal answers
+ * @param acknowledged in an answer, the highest level that the sender acknowledged to anyone
  * @param participants in an answer, the instances that the sender counts as serving
  */
 public record ShedPropose(
@@ -23,6 +25,8 @@
     long epoch,
     boolean joining,
     long answersEpoch,
+    long answersIncarnation,
+    ShedLevel acknowledged,
     List<String> participants)
     implements PeerMessage {
   /** Checks the values and copies the list. */
@@ -30,6 +34,7 @@
     Checks.notEmpty(serviceId, "serviceId");
     Checks.notNull(level, "level");
     Checks.positive(epoch, "epoch");
+    Checks.notNull(acknowledged, "acknowledged");
     Checks.notNegative(answersEpoch, "answersEpoch");
     participants = List.copyOf(participants);
   }
@@ -42,7 +47,11 @@
   @Override
   public void encode(MessagePacker packer) throws IOException {
     packer.packString(serviceId).packString(level.name()).packLong(incarnation).packLong(epoch);
-    packer.packBoolean(joining).packLong(answersEpoch);
+    packer
+        .packBoolean(joining)
+        .packLong(answersEpoch)
+        .packLong(answersIncarnation)
+        .packString(acknowledged.name());
     MessageLimits.packIds(packer, participants);
   }
 
@@ -54,6 +63,8 @@
         unpacker.unpackLong(),
         unpacker.unpackBoolean(),
         unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        MessageLimits.unpackEnum(unpacker, ShedLevel.class),
         MessageLimits.unpackIds(unpacker));
   }
 }
