--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -10,6 +10,11 @@
   MEMBER_UPDATE(3, MemberUpdate::decode),
   CONFIG_REQUEST(4, ConfigRequest::decode),
   CONFIG_REPLY(5, ConfigReply::decode),
+  SHED_PROPOSE(30, ShedPropose::decode),
+  SHED_ACK(31, ShedAck::decode),
+  SHED_LOWER(32, ShedLower::decode),
+  QUARANTINE(33, QuarantineNotice::decode),
+  ENDPOINT_STATE(34, EndpointStateNotice::decode),
   VERSION_FAULT(40, VersionFault::decode),
   ROLLOUT_STATE(41, RolloutStateMessage::decode),
   ROLLOUT_REPORT(42, RolloutReport::decode);
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -12,7 +12,12 @@
         Heartbeat,
         MemberUpdate,
         ConfigRequest,
-        ConfigReply {
+        ConfigReply,
+        ShedPropose,
+        ShedAck,
+        ShedLower,
+        QuarantineNotice,
+        EndpointStateNotice {
   /** Returns the type, which decides the encoding. */
   MessageType type();
 
