--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/ClaimBackup.java
@@ -0,0 +1,86 @@
+package org.buckthornferry.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.buckthornferry.util.Checks;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Moves copies of idempotent claims between an owner, its backup and the next owner.
+ *
+ * @param requestNumber for {@code FETCH} and {@code CONTENTS}: matches contents to the fetch
+ * @param part for {@code CONTENTS}: the index of this part
+ * @param parts for {@code CONTENTS}: the number of parts
+ * @param shards for {@code FETCH}: the shards whose copies are wanted
+ */
+public record ClaimBackup(
+    Kind kind,
+    long requestNumber,
+    int part,
+    int parts,
+    List<Integer> shards,
+    List<ClaimCopy> copies)
+    implements PeerMessage {
+  /** The largest number of shards in one message. */
+  public static final int MAX_SHARDS = 4096;
+
+  /** The largest number of copies in one message. */
+  public static final int MAX_COPIES = 4096;
+
+  /** What the receiver does. */
+  public enum Kind {
+    /** Keeps the copies. */
+    STORE,
+    /** Answers with the copies that it has for the shards. */
+    FETCH,
+    /** Takes the copies into its table. */
+    CONTENTS
+  }
+
+  /** Copies the lists and checks their bounds. */
+  public ClaimBackup {
+    Checks.notNull(kind, "kind");
+    shards = List.copyOf(shards);
+    copies = List.copyOf(copies);
+    Checks.check(shards.size() <= MAX_SHARDS, "too many shards");
+    Checks.check(copies.size() <= MAX_COPIES, "too many copies");
+  }
+
+  @Override
+  public MessageType type() {
+    return MessageType.CLAIM_BACKUP;
+  }
+
+  @Override
+  public void encode(MessagePacker packer) throws IOException {
+    packer.packString(kind.name()).packLong(requestNumber).packInt(part).packInt(parts);
+    packer.packArrayHeader(shards.size());
+    for (int shard : shards) {
+      packer.packInt(shard);
+    }
+    packer.packArrayHeader(copies.size());
+    for (ClaimCopy copy : copies) {
+      copy.encode(packer);
+    }
+  }
+
+  static ClaimBackup decode(MessageUnpacker unpacker) throws IOException {
+    Kind kind = PeerLimits.constant(unpacker, Kind.class);
+    long requestNumber = unpacker.unpackLong();
+    int part = unpacker.unpackInt();
+    int parts = unpacker.unpackInt();
+    int shardCount = PeerLimits.arraySize(unpacker, MAX_SHARDS);
+    List<Integer> shards = new ArrayList<>(shardCount);
+    for (int i = 0; i < shardCount; i++) {
+      shards.add(unpacker.unpackInt());
+    }
+    int copyCount = PeerLimits.arraySize(unpacker, MAX_COPIES);
+    List<ClaimCopy> copies = new ArrayList<>();
+    for (int i = 0; i < copyCount; i++) {
+      copies.add(ClaimCopy.decode(unpacker));
+    }
+    return new ClaimBackup(kind, requestNumber, part, parts, shards, copies);
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -5,7 +5,11 @@
 
 /** The closed set of message types with their codes on the wire. */
 public enum MessageType {
-  HELLO(1, Hello::decode);
+  HELLO(1, Hello::decode),
+  CLAIM(20, ClaimRequest::decode),
+  CLAIM_REPLY(21, ClaimReply::decode),
+  CLAIM_UPDATE(22, ClaimUpdate::decode),
+  CLAIM_BACKUP(23, ClaimBackup::decode);
 
   private static final MessageType[] BY_CODE = new MessageType[64];
 
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -4,7 +4,8 @@
 import org.msgpack.core.MessagePacker;
 
 /** A message between two instances. Every implementation is an immutable record. */
-public sealed interface PeerMessage permits Hello {
+public sealed interface PeerMessage
+    permits Hello, ClaimBackup, ClaimReply, ClaimRequest, ClaimUpdate {
   /** Returns the type, which decides the encoding. */
   MessageType type();
 
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimRecovery.java
@@ -0,0 +1,149 @@
+package org.buckthornferry.request;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.membership.MembershipView;
+import org.buckthornferry.peer.ClaimBackup;
+import org.buckthornferry.peer.ClaimCopy;
+import org.buckthornferry.peer.PeerSender;
+import org.buckthornferry.store.KeyValueStore;
+
+/**
+ * Rebuilds the claims of a batch of shards that this process has taken over: seals and reads the
+ * journal of every former owner and fetches the copies of idempotent claims. Until it is done
+ * nothing is answered for these shards. Used on the control thread only.
+ */
+final class ClaimRecovery {
+  /** How many ranked backups of each former owner are asked, for views that differed slightly. */
+  private static final int BACKUPS_ASKED = 2;
+
+  private final Map<Integer, Long> fencingByShard;
+  private final List<JournalReader> readers = new ArrayList<>();
+  private final BackupFetch fetch;
+  private final Map<RequestIdentity, ClaimCopy> newest = new HashMap<>();
+  private final long storeTimeoutNanos;
+  private final long startedNanos;
+
+  /** The collaborators of every recovery of one process. */
+  record Environment(
+      KeyValueStore store,
+      PeerSender sender,
+      FormerOwner self,
+      ClaimSettings settings,
+      ClaimStoreCalls calls,
+      SegmentRetention retention) {}
+
+  /**
+   * Starts a recovery.
+   *
+   * @param fencingByShard the shards with the fencing numbers of this process
+   */
+  ClaimRecovery(
+      Environment environment,
+      Map<Integer, Long> fencingByShard,
+      OwnershipCheck ownership,
+      MembershipView view,
+      long requestNumber,
+      long nowNanos) {
+    this.fencingByShard = new TreeMap<>(fencingByShard);
+    this.storeTimeoutNanos =
+        TimeUnit.MILLISECONDS.toNanos(environment.settings.storeTimeoutMillis());
+    this.startedNanos = nowNanos;
+    Map<FormerOwner, Map<Integer, Long>> shardsByWriter = new LinkedHashMap<>();
+    Set<String> targets = new TreeSet<>();
+    for (Map.Entry<Integer, Long> shard : this.fencingByShard.entrySet()) {
+      for (FormerOwner former : ownership.formerOwners(shard.getKey())) {
+        shardsByWriter
+            .computeIfAbsent(former, writer -> new TreeMap<>())
+            .put(shard.getKey(), shard.getValue());
+        addTargets(targets, shard.getKey(), former, view);
+      }
+    }
+    targets.remove(environment.self.instanceId());
+    shardsByWriter.forEach(
+        (writer, shards) -> readers.add(reader(environment, writer, shards, nowNanos)));
+    this.fetch =
+        new BackupFetch(
+            environment.sender,
+            requestNumber,
+            targets,
+            this.fencingByShard.keySet(),
+            this::merge,
+            nowNanos,
+            TimeUnit.MILLISECONDS.toNanos(environment.settings.backupWaitMillis()));
+  }
+
+  private JournalReader reader(
+      Environment environment, FormerOwner writer, Map<Integer, Long> shards, long nowNanos) {
+    boolean own = writer.equals(environment.self);
+    long dueNanos =
+        nowNanos + 2 * TimeUnit.MILLISECONDS.toNanos(environment.settings.claimWindowMillis());
+    return new JournalReader(
+        environment.store,
+        environment.calls,
+        writer,
+        !own,
+        shards,
+        this::merge,
+        segment -> {
+          if (!own) {
+            environment.retention.add(
+                new SegmentRetention.Segment(writer, segment.key(), segment.version(), dueNanos));
+          }
+        },
+        nowNanos);
+  }
+
+  private static void addTargets(
+      Set<String> targets, int shard, FormerOwner former, MembershipView view) {
+    List<String> ranked = BackupPlacement.rank(shard, former.instanceId(), view);
+    targets.addAll(ranked.subList(0, Math.min(BACKUPS_ASKED, ranked.size())));
+    if (view.running().stream().anyMatch(m -> m.instanceId().equals(former.instanceId()))) {
+      targets.add(former.instanceId());
+    }
+  }
+
+  Map<Integer, Long> fencingByShard() {
+    return fencingByShard;
+  }
+
+  void onTick(long nowNanos) {
+    fetch.onTick(nowNanos);
+    readers.forEach(reader -> reader.advance(nowNanos, storeTimeoutNanos));
+  }
+
+  void onContents(String from, ClaimBackup contents) {
+    fetch.onContents(from, contents);
+  }
+
+  boolean isDone(long nowNanos) {
+    return fetch.isDone(nowNanos) && readers.stream().allMatch(JournalReader::isDone);
+  }
+
+  long elapsedMillis(long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos);
+  }
+
+  /** Returns the newest copy of every claim. */
+  Collection<ClaimCopy> copies() {
+    return newest.values();
+  }
+
+  /** Adds a copy that this process holds itself. */
+  void merge(ClaimCopy copy) {
+    if (fencingByShard.containsKey(copy.shard())) {
+      newest.merge(
+          Messages.identityOf(copy.claim()),
+          copy,
+          (known, added) -> added.isNewerThan(known) ? added : known);
+    }
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimStoreCalls.java
@@ -0,0 +1,41 @@
+package org.buckthornferry.request;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts the calls to the store that claims cause, by kind. Used on the control thread only. */
+public final class ClaimStoreCalls {
+  /** Why the store was called. */
+  public enum Kind {
+    /** A compare-and-swap of the current journal segment. */
+    COMMIT,
+    /** A read of the current segment after a lost response or a conflict. */
+    READ_BACK,
+    /** A deletion of a segment older than two claim windows. */
+    DELETE,
+    /** A list of a journal at takeover. */
+    RECOVERY_LIST,
+    /** A read of one segment at takeover. */
+    RECOVERY_READ,
+    /** A compare-and-swap that seals a journal. */
+    SEAL
+  }
+
+  private final Map<Kind, Long> counts = new EnumMap<>(Kind.class);
+
+  void count(Kind kind) {
+    counts.merge(kind, 1L, Long::sum);
+  }
+
+  /** Returns the number of calls of a kind. */
+  public long countOf(Kind kind) {
+    return counts.getOrDefault(kind, 0L);
+  }
+
+  Map<String, Object> dump() {
+    Map<String, Object> dump = new TreeMap<>();
+    counts.forEach((kind, count) -> dump.put(kind.name(), count));
+    return dump;
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ContentHash.java
@@ -0,0 +1,32 @@
+package org.buckthornferry.request;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * The first 128 bits of the SHA-256 hash of a request's route and body. Detects the reuse of a key
+ * with other content and identifies requests that crash endpoints.
+ *
+ * @param high the upper 64 bits
+ * @param low the lower 64 bits
+ */
+public record ContentHash(long high, long low) {
+  /** Returns the hash of a request. */
+  public static ContentHash of(String routePath, byte[] body) {
+    MessageDigest digest = sha256();
+    digest.update(routePath.getBytes(StandardCharsets.UTF_8));
+    digest.update((byte) 0);
+    ByteBuffer hash = ByteBuffer.wrap(digest.digest(body));
+    return new ContentHash(hash.getLong(), hash.getLong());
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform provides SHA-256", e);
+    }
+  }
+}
