--- a/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -5,7 +5,8 @@
 
 /** A message between two instances. Every implementation is an immutable record. */
 public sealed interface PeerMessage
-    permits Hello,
+    permits
+    Hello,
         VersionFault,
         RolloutStateMessage,
         RolloutReport,
@@ -17,7 +18,11 @@
         ShedAck,
         ShedLower,
         QuarantineNotice,
-        EndpointStateNotice {
+        EndpointStateNotice,
+        ClaimBackup,
+        ClaimReply,
+        ClaimRequest,
+        ClaimUpdate {
   /** Returns the type, which decides the encoding. */
   MessageType type();
 
