--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/HolderReport.java
@@ -0,0 +1,126 @@
+package org.buckthornferry.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.buckthornferry.util.Checks;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * What a holder of grants tells the owner of some shards. It carries the entries that changed since
+ * the last report that the owner answered, so a report supersedes every earlier one.
+ *
+ * @param incarnation the incarnation of the holder
+ * @param requestId grows with every report to the owner
+ * @param ownerIncarnation the owner's process that sent {@code appliedGrantId}
+ * @param appliedGrantId the newest grant message that the holder applied, or 0
+ */
+public record HolderReport(
+    long incarnation,
+    long requestId,
+    long ownerIncarnation,
+    long appliedGrantId,
+    List<Shard> shards,
+    List<Entry> entries) {
+  /** The largest number of shards or entries in one message. */
+  public static final int MAX_ENTRIES = 8_192;
+
+  /** The largest length of an endpoint id, in characters. */
+  public static final int MAX_ENDPOINT_ID_CHARS = 128;
+
+  /**
+   * A shard of the owner.
+   *
+   * @param complete whether the report holds every endpoint of the shard that the holder uses
+   */
+  public record Shard(int shard, long fencingNumber, boolean complete) {
+    /** Checks that the numbers are in range. */
+    public Shard {
+      Checks.notNegative(shard, "shard");
+      Checks.positive(fencingNumber, "fencingNumber");
+    }
+  }
+
+  /**
+   * The state of one endpoint at the holder.
+   *
+   * @param fencingNumber the fencing number of the held grant, or 0 without one
+   * @param held what the holder may run because of its grant or fallback slice
+   * @param running what runs now
+   * @param lowWater the least number of requests that ran at once over the last second
+   * @param demand what the holder would run now
+   */
+  public record Entry(
+      String endpointId,
+      long fencingNumber,
+      Amounts held,
+      Amounts running,
+      long lowWater,
+      Amounts demand) {
+    /** Checks the bounds. */
+    public Entry {
+      checkEndpointId(endpointId);
+      Checks.notNegative(fencingNumber, "fencingNumber");
+      Checks.notNegative(lowWater, "lowWater");
+    }
+  }
+
+  /** Copies the lists. */
+  public HolderReport {
+    shards = List.copyOf(shards);
+    entries = List.copyOf(entries);
+  }
+
+  static void checkEndpointId(String endpointId) {
+    Checks.notEmpty(endpointId, "endpointId");
+    Checks.check(endpointId.length() <= MAX_ENDPOINT_ID_CHARS, "endpointId is too long");
+  }
+
+  static int decodeCount(MessageUnpacker unpacker) throws IOException {
+    int count = unpacker.unpackArrayHeader();
+    Checks.check(count <= MAX_ENTRIES, "too many entries: " + count);
+    return count;
+  }
+
+  void encode(MessagePacker packer) throws IOException {
+    packer.packLong(incarnation).packLong(requestId);
+    packer.packLong(ownerIncarnation).packLong(appliedGrantId);
+    packer.packArrayHeader(shards.size());
+    for (Shard shard : shards) {
+      packer.packInt(shard.shard).packLong(shard.fencingNumber).packBoolean(shard.complete);
+    }
+    packer.packArrayHeader(entries.size());
+    for (Entry entry : entries) {
+      packer.packString(entry.endpointId).packLong(entry.fencingNumber);
+      entry.held.encode(packer);
+      entry.running.encode(packer);
+      packer.packLong(entry.lowWater);
+      entry.demand.encode(packer);
+    }
+  }
+
+  static HolderReport decode(MessageUnpacker unpacker) throws IOException {
+    long incarnation = unpacker.unpackLong();
+    long requestId = unpacker.unpackLong();
+    long ownerIncarnation = unpacker.unpackLong();
+    long appliedGrantId = unpacker.unpackLong();
+    List<Shard> shards = new ArrayList<>();
+    for (int count = decodeCount(unpacker); count > 0; count--) {
+      shards.add(new Shard(unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackBoolean()));
+    }
+    List<Entry> entries = new ArrayList<>();
+    for (int count = decodeCount(unpacker); count > 0; count--) {
+      entries.add(
+          new Entry(
+              unpacker.unpackString(),
+              unpacker.unpackLong(),
+              Amounts.decode(unpacker),
+              Amounts.decode(unpacker),
+              unpacker.unpackLong(),
+              Amounts.decode(unpacker)));
+    }
+    return new HolderReport(
+        incarnation, requestId, ownerIncarnation, appliedGrantId, shards, entries);
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -5,7 +5,11 @@
 
 /** The closed set of message types with their codes on the wire. */
 public enum MessageType {
-  HELLO(1, Hello::decode);
+  HELLO(1, Hello::decode),
+  GRANT_REQUEST(10, GrantRequest::decode),
+  GRANT(11, Grant::decode),
+  GRANT_ACK(12, GrantAck::decode),
+  SHARD_OWNERS(13, ShardOwners::decode);
 
   private static final MessageType[] BY_CODE = new MessageType[64];
 
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -4,7 +4,7 @@
 import org.msgpack.core.MessagePacker;
 
 /** A message between two instances. Every implementation is an immutable record. */
-public sealed interface PeerMessage permits Hello {
+public sealed interface PeerMessage permits Hello, GrantRequest, Grant, GrantAck, ShardOwners {
   /** Returns the type, which decides the encoding. */
   MessageType type();
 
--- a/buckthornferry/src/main/java/org/buckthornferry/shard/ShardKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/shard/ShardKind.java
@@ -1,13 +1,34 @@
 package org.buckthornferry.shard;
 
 import java.util.Locale;
+import java.util.Optional;
 
 /** What is hashed into a shard. Kinds are numbered and owned independently. */
 public enum ShardKind {
   /** Endpoints, for capacity and health. */
-  ENDPOINT,
+  ENDPOINT(0),
   /** Request identities, for claims. */
-  CLAIM;
+  CLAIM(1);
+
+  private final int code;
+
+  ShardKind(int code) {
+    this.code = code;
+  }
+
+  /** Returns the code of the kind in messages. */
+  public int code() {
+    return code;
+  }
+
+  /** Returns the kind with the given code, or empty. */
+  public static Optional<ShardKind> ofCode(int code) {
+    return switch (code) {
+      case 0 -> Optional.of(ENDPOINT);
+      case 1 -> Optional.of(CLAIM);
+      default -> Optional.empty();
+    };
+  }
 
   /** Returns the store key of a shard's record. */
   public String recordKey(int shard) {
