--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/BudgetSource.java
@@ -0,0 +1,14 @@
+package org.buckthornferry.capacity;
+
+import java.util.Optional;
+
+/** Supplies budgets and load reports of endpoints to the owner of their shard. */
+public interface BudgetSource {
+  /** Returns the present budget of an endpoint, or empty when the endpoint is not known. */
+  Optional<EndpointBudget> budgetOf(String endpointId);
+
+  /** Returns the newest load report of an endpoint, or empty when there is none. */
+  default Optional<LoadSample> loadOf(String endpointId) {
+    return Optional.empty();
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/shard/InstanceLease.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/shard/InstanceLease.java
@@ -57,9 +57,12 @@
     return failing;
   }
 
-  /** Returns whether a call succeeded within the given time. */
+  /**
+   * Returns false when the last call failed and none succeeded within the given time. A process
+   * that has not called yet must not count as one that found the store down.
+   */
   boolean reachedWithin(long nanos, long nowNanos) {
-    return everSucceeded && nowNanos - lastSuccessNanos <= nanos;
+    return !failing || (everSucceeded && nowNanos - lastSuccessNanos <= nanos);
   }
 
   void onTick(long nowNanos) {
--- a/buckthornferry/src/main/java/org/buckthornferry/shard/ShardController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/shard/ShardController.java
@@ -162,7 +162,10 @@
         || nowNanos - tenure.takenNanos() >= waitNanos;
   }
 
-  /** Returns whether the store answered within the given time; reported in heartbeats. */
+  /**
+   * Returns false when the last call to the store failed and none succeeded within the given time;
+   * reported in heartbeats.
+   */
   public boolean reachedStoreWithin(long nanos, long nowNanos) {
     return lease.reachedWithin(nanos, nowNanos);
   }
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/capacity/Fleet.java
@@ -0,0 +1,445 @@
+package org.buckthornferry.capacity;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.membership.Member;
+import org.buckthornferry.membership.MemberState;
+import org.buckthornferry.membership.MembershipView;
+import org.buckthornferry.peer.Amounts;
+import org.buckthornferry.peer.PeerMessage;
+import org.buckthornferry.shard.ShardController;
+import org.buckthornferry.shard.ShardKind;
+import org.buckthornferry.shard.ShardSettings;
+import org.buckthornferry.store.InMemoryKeyValueStore;
+
+/**
+ * A few instances with both controllers, a network and a store under virtual time. Every choice
+ * follows from the seed. Checks the safety of ownership and of capacity at every step.
+ */
+final class Fleet {
+  private static final Logger LOG = Logger.getLogger("org.buckthornferry");
+
+  static {
+    // Millions of takeovers would fill the log.
+    LOG.setLevel(Level.OFF);
+  }
+
+  static final CapacitySettings CAPACITY = new CapacitySettings(2_000, 6_000, 300, 500);
+  static final ShardSettings SHARDS = new ShardSettings(2, 3_000, 2_000, 600_000, 2_000);
+  static final String[] ENDPOINTS = {"e0", "e1", "e2"};
+  static final int WARM = 10;
+
+  /** Time from a change of the budget to the owner's messages about it, and clock drift. */
+  private static final long SLACK_NANOS = millis(200);
+
+  final SplittableRandom random;
+  final InMemoryKeyValueStore store;
+  final List<Instance> instances = new ArrayList<>();
+  final List<Work> work = new ArrayList<>();
+  final Map<String, Integer> budgets = new HashMap<>();
+  private final Map<String, ArrayDeque<long[]>> budgetHistory = new HashMap<>();
+  private final Map<String, ArrayDeque<long[]>> loadHistory = new HashMap<>();
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final boolean[][] cut;
+  private final Knowledge[][] known;
+  private final long stepNanos;
+  long now = millis(1_000);
+  private long eventOrder;
+  private long nextGossipNanos;
+  private long storeChangedNanos = -millis(10_000);
+  boolean faulty = true;
+  boolean storeDown;
+  double demandShare = 0.6;
+  int starts;
+  static Consumer<Fleet> debug;
+  void dumpHistory() { budgetHistory.forEach((e,h)->{ System.out.print("  "+e+": "); for (long[] c : h) System.out.print(c[0]/1000000+".."+(c[1]/1000000)+"="+c[2]+"; "); System.out.println();}); }
+
+  record Event(long nanos, long order, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(nanos, other.nanos);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  /** A running request. */
+  record Work(Instance instance, String endpoint, long startNanos, long endNanos) {}
+
+  /** What one instance knows of another; times are true times. */
+  record Knowledge(long heardNanos, long incarnation, boolean storeReachable, long observedNanos) {}
+
+  Fleet(long seed, int size, long stepMillis) {
+    this.random = new SplittableRandom(seed);
+    this.store = new InMemoryKeyValueStore(() -> now);
+    this.cut = new boolean[size][size];
+    this.known = new Knowledge[size][size];
+    this.stepNanos = millis(stepMillis);
+    for (String endpoint : ENDPOINTS) {
+      setBudget(endpoint, WARM);
+    }
+    for (int i = 0; i < size; i++) {
+      instances.add(new Instance(i, 1));
+    }
+  }
+
+  static long millis(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  final class Instance implements BudgetSource {
+    final int index;
+    final long incarnation;
+    final String id;
+    final double rate;
+    final long originNanos;
+    final FaultyStore access;
+    final GrantHolder holder = new GrantHolder(SHARDS.shardCount());
+    final ShardController shards;
+    final CapacityController capacity;
+    final Consumer<MembershipView> membership;
+    final ArrayDeque<Runnable> paused = new ArrayDeque<>();
+    boolean ended;
+    long endedNanos;
+    boolean isPaused;
+    boolean isLeaving;
+
+    Instance(int index, long incarnation) {
+      this.index = index;
+      this.incarnation = incarnation;
+      this.id = "i" + index;
+      this.rate = 0.99 + 0.02 * random.nextDouble();
+      this.originNanos = random.nextLong(millis(100_000)) - millis(50_000);
+      this.access =
+          new FaultyStore(
+              store,
+              random.split(),
+              (nanos, atProcess, action) -> at(nanos, atProcess ? () -> run(action) : action));
+      Blackboard blackboard = new Blackboard();
+      this.membership = blackboard.writerOf(MembershipView.ENTRY);
+      this.shards =
+          new ShardController(
+              id,
+              incarnation,
+              SHARDS,
+              access,
+              blackboard,
+              (to, message) -> send(this, to, message),
+              this::clock,
+              () -> TimeUnit.NANOSECONDS.toMillis(now),
+              random.split());
+      this.capacity =
+          new CapacityController(
+              id,
+              incarnation,
+              CAPACITY,
+              holder,
+              this,
+              shards,
+              blackboard,
+              (to, message) -> send(this, to, message));
+      access.down = storeDown;
+    }
+
+    long clock() {
+      return clockAt(now);
+    }
+
+    long clockAt(long trueNanos) {
+      return originNanos + (long) (trueNanos * rate);
+    }
+
+    void run(Runnable action) {
+      if (isPaused) {
+        paused.add(action);
+      } else if (!ended) {
+        action.run();
+      }
+    }
+
+    void receive(String from, PeerMessage message) {
+      shards.onMessage(from, message, clock());
+      capacity.onMessage(from, message, clock());
+    }
+
+    void tick() {
+      membership.accept(view(this));
+      shards.onTick(clock());
+      capacity.onTick(clock());
+    }
+
+    void resume() {
+      isPaused = false;
+      // What waited at the instance is handled before the first tick.
+      while (!paused.isEmpty()) {
+        run(paused.poll());
+      }
+    }
+
+    @Override
+    public Optional<EndpointBudget> budgetOf(String endpointId) {
+      int budget = budgets.get(endpointId);
+      return Optional.of(new EndpointBudget(
+              Amounts.ofConcurrent(budget), Amounts.ofConcurrent(WARM), budget < WARM));
+    }
+
+    @Override
+    public Optional<LoadSample> loadOf(String endpointId) {
+      ArrayDeque<long[]> history = loadHistory.get(endpointId);
+      if (history == null || history.size() < 4) {
+        return Optional.empty();
+      }
+      long[] late = history.peekFirst();
+      return Optional.of(new LoadSample(late[1], clockAt(late[0])));
+    }
+  }
+
+  void at(long delayNanos, Runnable action) {
+    events.add(new Event(now + delayNanos, eventOrder++, action));
+  }
+
+  private void send(Instance from, String to, PeerMessage message) {
+    int copies = faulty && random.nextInt(20) == 0 ? 2 : 1;
+    if (faulty && random.nextInt(12) == 0) {
+      copies = 0;
+    }
+    int target = Integer.parseInt(to.substring(1));
+    for (int i = 0; i < copies; i++) {
+      boolean slow = faulty && random.nextInt(25) == 0;
+      long delayNanos = random.nextLong(slow ? millis(2_500) : millis(15));
+      at(
+          delayNanos,
+          () -> {
+            if (!cut[from.index][target]) {
+              Instance receiver = instances.get(target);
+              receiver.run(() -> receiver.receive(from.id, message));
+            }
+          });
+    }
+  }
+
+  /** Advances to {@code untilNanos}, calling {@code chaos} and checking safety at every step. */
+  void run(long untilNanos, Runnable chaos) {
+    while (now < untilNanos) {
+      now += stepNanos;
+      while (!events.isEmpty() && events.peek().nanos <= now) {
+        events.poll().action.run();
+      }
+      chaos.run();
+      endWork();
+      gossip();
+      sampleLoad();
+      for (Instance instance : instances) {
+        instance.run(instance::tick);
+        instance.run(() -> startWork(instance));
+      }
+      checkOwners();
+    }
+  }
+
+  private void startWork(Instance instance) {
+    for (String endpoint : ENDPOINTS) {
+      if (random.nextDouble() >= demandShare) {
+        continue;
+      }
+      boolean bySlice = instance.holder.usesSlice(endpoint, instance.clock());
+      if (!instance.holder.tryAcquire(endpoint, instance.clock())) {
+        continue;
+      }
+      starts++;
+      long span = random.nextInt(10) == 0 ? millis(12_000) : millis(1_500);
+      work.add(new Work(instance, endpoint, now, now + random.nextLong(span)));
+      checkBudget(endpoint, bySlice);
+    }
+  }
+
+  private void endWork() {
+    work.removeIf(
+        request -> {
+          boolean over = request.endNanos <= now && !request.instance.isPaused;
+          if (over && !request.instance.ended) {
+            request.instance.holder.release(request.endpoint, request.instance.clock());
+          }
+          return over;
+        });
+  }
+
+  private void checkBudget(String endpoint, boolean bySlice) {
+    long window = millis(bySlice ? CAPACITY.fallbackValidMillis() : CAPACITY.grantValidMillis());
+    long bound = 0;
+    for (long[] change : budgetHistory.get(endpoint)) {
+      if (change[1] >= now - window - window / 50 - SLACK_NANOS) {
+        bound = Math.max(bound, change[2]);
+      }
+    }
+    long running = running(endpoint);
+    if (running > bound) {
+      if (debug != null) { System.out.println("VIOLATION "+endpoint+" bySlice "+bySlice); debug.accept(this); }
+      throw new AssertionError(endpoint + " runs " + running + " above " + bound);
+    }
+  }
+
+  long running(String endpoint) {
+    return work.stream().filter(request -> request.endpoint.equals(endpoint)).count();
+  }
+
+  private void checkOwners() {
+    if (storeDown || now - storeChangedNanos < millis(1_500)) {
+      return;
+    }
+    for (ShardKind kind : ShardKind.values()) {
+      for (int shard = 0; shard < SHARDS.shardCount(); shard++) {
+        int owners = 0;
+        for (Instance instance : instances) {
+          boolean owns = instance.shards.ownsNow(kind, shard, instance.clock());
+          owners += !instance.ended && owns ? 1 : 0;
+        }
+        if (owners > 1) { if (debug != null) { debug.accept(this); }
+          throw new AssertionError(owners + " owners of " + kind + " " + shard);
+        }
+      }
+    }
+  }
+
+  void setBudget(String endpoint, int budget) {
+    budgets.put(endpoint, budget);
+    ArrayDeque<long[]> history = budgetHistory.computeIfAbsent(endpoint, e -> new ArrayDeque<>());
+    if (!history.isEmpty()) {
+      history.peekLast()[1] = now;
+    }
+    history.addLast(new long[] {now, Long.MAX_VALUE / 2, budget});
+  }
+
+  void setStoreDown(boolean down) {
+    storeDown = down;
+    storeChangedNanos = now;
+    instances.forEach(instance -> instance.access.down = down);
+  }
+
+  void crash(int index) {
+    Instance instance = instances.get(index);
+    instance.isPaused = false;
+    instance.paused.clear();
+    instance.ended = true;
+    instance.endedNanos = now;
+  }
+
+  void restart(int index) {
+    Instance before = instances.get(index);
+    instances.set(index, new Instance(index, before.incarnation + 1));
+    java.util.Arrays.fill(known[index], null);
+  }
+
+  void setCut(int a, int b, boolean isCut) {
+    cut[a][b] = isCut;
+    cut[b][a] = isCut;
+  }
+
+  void heal() {
+    faulty = false;
+    for (int i = 0; i < instances.size(); i++) {
+      for (int j = 0; j < i; j++) {
+        setCut(i, j, false);
+      }
+      instances.get(i).resume();
+      if (instances.get(i).isLeaving) {
+        crash(i);
+      }
+      instances.get(i).access.lostAnswerShare = 0;
+      if (instances.get(i).ended) {
+        restart(i);
+      }
+    }
+    setStoreDown(false);
+  }
+
+  private void sampleLoad() {
+    for (String endpoint : ENDPOINTS) {
+      ArrayDeque<long[]> history = loadHistory.computeIfAbsent(endpoint, e -> new ArrayDeque<>());
+      if (history.isEmpty() || now - history.peekLast()[0] >= millis(100)) {
+        history.addLast(new long[] {now, running(endpoint)});
+        if (history.size() > 4) {
+          history.removeFirst();
+        }
+      }
+    }
+  }
+
+  private void gossip() {
+    if (now < nextGossipNanos) {
+      return;
+    }
+    nextGossipNanos = now + millis(250);
+    for (Instance instance : instances) {
+      if (!instance.ended && !instance.isPaused) {
+        boolean reachable = instance.shards.reachedStoreWithin(millis(1_000), instance.clock());
+        known[instance.index][instance.index] =
+            new Knowledge(now, instance.incarnation, reachable, now);
+      }
+    }
+    for (Instance from : instances) {
+      for (Instance to : instances) {
+        if (from.ended || from.isPaused || to.ended || cut[from.index][to.index]) {
+          continue;
+        }
+        for (int i = 0; i < known.length; i++) {
+          Knowledge theirs = known[from.index][i];
+          Knowledge own = known[to.index][i];
+          if (theirs != null && (own == null || theirs.heardNanos > own.heardNanos)) {
+            known[to.index][i] = theirs;
+          }
+        }
+      }
+    }
+  }
+
+  private MembershipView view(Instance viewer) {
+    Map<String, Member> members = new TreeMap<>();
+    Set<String> absent = new TreeSet<>();
+    for (Instance instance : instances) {
+      Knowledge knowledge = known[viewer.index][instance.index];
+      if (instance.ended && now - instance.endedNanos > millis(1_500)) {
+        absent.add(instance.id);
+      }
+      // The instance list names every instance; nothing else is known of one never heard of.
+      long heardNanos = knowledge == null ? now - millis(1_200) : knowledge.heardNanos;
+      long silentNanos = instance == viewer ? 0 : now - heardNanos;
+      MemberState state =
+          instance.isLeaving && instance != viewer && silentNanos < millis(3_000)
+              ? MemberState.LEAVING
+              : silentNanos > millis(3_000)
+                  ? MemberState.DEAD
+                  : silentNanos > millis(1_000) ? MemberState.SUSPECT : MemberState.ALIVE;
+      members.put(
+          instance.id,
+          new Member(
+              instance.id,
+              "127.0.0.1:1",
+              "d" + instance.index % 2,
+              "r",
+              instance == viewer
+                  ? instance.incarnation
+                  : knowledge == null ? 0 : knowledge.incarnation,
+              0,
+              state,
+              knowledge == null || knowledge.storeReachable,
+              knowledge == null
+                  ? viewer.clock() - millis(5_000)
+                  : viewer.clockAt(knowledge.observedNanos)));
+    }
+    return new MembershipView(viewer.id, members, absent);
+  }
+}
