--- a/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -5,8 +5,7 @@
 
 /** A message between two instances. Every implementation is an immutable record. */
 public sealed interface PeerMessage
-    permits
-    Hello,
+    permits Hello,
         VersionFault,
         RolloutStateMessage,
         RolloutReport,
@@ -22,7 +21,11 @@
         ClaimBackup,
         ClaimReply,
         ClaimRequest,
-        ClaimUpdate {
+        ClaimUpdate,
+        GrantRequest,
+        Grant,
+        GrantAck,
+        ShardOwners {
   /** Returns the type, which decides the encoding. */
   MessageType type();
 
