Connect every controller on the path of a request

A request without an idempotency key needs no claim, since nobody can repeat it. A keyed request finishes at its endpoint when its caller disconnects, so that a repeat gets the first response.

--- a/buckthornferry/src/main/java/org/buckthornferry/node/CallerHandler.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/CallerHandler.java
@@ -18,6 +18,7 @@
   private final BiConsumer<CallerRequest, HttpExchange> onRequest;
   private volatile RequestCatalog catalog;
   private volatile boolean accepting = true;
+  private volatile boolean drained;
 
   CallerHandler(
       MonotonicClock clock,
@@ -33,7 +34,12 @@
   }
 
   boolean isReady() {
-    return accepting && catalog != null;
+    return accepting && !drained && catalog != null;
+  }
+
+  /** Refuses further requests while the failure domain of this instance is drained. */
+  void setDrained(boolean newDrained) {
+    drained = newDrained;
   }
 
   /** Refuses every further request. */
@@ -43,8 +49,10 @@
 
   @Override
   public void handle(HttpExchange exchange) {
-    if (!accepting) {
-      throw new RequestException(ErrorKind.SHUTTING_DOWN, "this instance is shutting down");
+    if (!accepting || drained) {
+      throw new RequestException(
+          ErrorKind.SHUTTING_DOWN,
+          drained ? "this failure domain is drained" : "this instance is shutting down");
     }
     RequestCatalog current = catalog;
     if (current == null) {
--- a/buckthornferry/src/main/java/org/buckthornferry/node/CallerRequestParser.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/CallerRequestParser.java
@@ -1,21 +1,24 @@
 package org.buckthornferry.node;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.buckthornferry.admission.Tier;
 import org.buckthornferry.config.CustomerDeclaration;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
 import org.buckthornferry.http.HttpExchange;
+import org.buckthornferry.request.RequestIdentity;
 import org.buckthornferry.util.Sha256;
 
 /** Checks the headers of a caller's request against the configuration. */
 final class CallerRequestParser {
   private static final String BEARER = "Bearer ";
-  private static final int MAX_KEY_CHARS = 256;
+  private static final int MAX_KEY_CHARS = RequestIdentity.MAX_LENGTH;
   private static final long MAX_TIMEOUT_MILLIS = TimeUnit.HOURS.toMillis(1);
 
   private CallerRequestParser() {}
@@ -39,18 +42,38 @@
                         ErrorKind.UNKNOWN_ROUTE, "no service declares " + exchange.path()));
     Tier tier = tier(exchange, target);
     long timeoutMillis = timeoutMillis(exchange, target.service().tier(tier).deadlineMillis());
+    Optional<String> key = idempotencyKey(exchange);
     return new CallerRequest(
-        UUID.randomUUID().toString(),
+        requestId(customer, key),
         customer,
         target,
         tier,
-        idempotencyKey(exchange),
+        key,
         exchange.body(),
         nowNanos,
         nowNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
         resumeOffset(exchange));
   }
 
+  /** A repeat has the id of the first attempt, so that any instance can resume its stream. */
+  private static String requestId(CustomerDeclaration customer, Optional<String> key) {
+    return key.map(text -> UUID.nameUUIDFromBytes(bytes(customer.id() + '\0' + text)))
+        .orElseGet(CallerRequestParser::randomId)
+        .toString();
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Unpredictable ids are not needed, and a secure generator costs more than the rest of a parse.
+   */
+  private static UUID randomId() {
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    return new UUID(random.nextLong(), random.nextLong());
+  }
+
   private static CustomerDeclaration authenticate(HttpExchange exchange, RequestCatalog catalog) {
     String header = exchange.header("Authorization").orElse("");
     if (!header.startsWith(BEARER)) {
@@ -82,6 +105,11 @@
       throw new RequestException(
           ErrorKind.BAD_REQUEST, "Idempotency-Key must have 1 to " + MAX_KEY_CHARS + " characters");
     }
+    if (key.isPresent() && key.get().startsWith(RequestIdentity.GENERATED_PREFIX)) {
+      throw new RequestException(
+          ErrorKind.BAD_REQUEST,
+          "Idempotency-Key must not start with " + RequestIdentity.GENERATED_PREFIX);
+    }
     return key;
   }
 
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RequestCoordinator.java
@@ -0,0 +1,383 @@
+package org.buckthornferry.node;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.config.ConfigSnapshot;
+import org.buckthornferry.config.EndpointDeclaration;
+import org.buckthornferry.config.ServiceDeclaration;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.control.Controller;
+import org.buckthornferry.error.ErrorKind;
+import org.buckthornferry.error.RequestException;
+import org.buckthornferry.http.Addresses;
+import org.buckthornferry.http.HttpCall;
+import org.buckthornferry.http.HttpConnector;
+import org.buckthornferry.http.HttpExchange;
+import org.buckthornferry.http.ProblemDocument;
+import org.buckthornferry.request.ClaimController;
+import org.buckthornferry.request.ClaimOutcome;
+import org.buckthornferry.request.StoredResponse;
+import org.buckthornferry.routing.Dispatcher;
+import org.buckthornferry.routing.PendingRequest;
+import org.buckthornferry.routing.RequestOutcome;
+import org.buckthornferry.routing.RoutingController;
+import org.buckthornferry.util.MonotonicClock;
+import org.jboss.logging.Logger;
+
+/**
+ * Takes each request through claim, routing, endpoint and response. Decides nothing itself: claims
+ * say whether a request may run, routing says where. Used only on the control thread.
+ */
+final class RequestCoordinator implements Controller, Dispatcher {
+  private static final Logger LOG = Logger.getLogger(RequestCoordinator.class);
+  private static final long DEADLINE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long RUNNING_RETRY_MILLIS = 1_000;
+  private static final byte[] NO_BODY = {};
+
+  private final Blackboard blackboard;
+  private final ClaimController claims;
+  private final HttpConnector connector;
+  private final MonotonicClock clock;
+  private final Executor controlThread;
+  private final MetricRegistry metrics;
+  private final Map<String, RequestFlow> flows = new HashMap<>();
+  private final Map<String, EndpointDeclaration> endpoints = new HashMap<>();
+  private RoutingController routing;
+  private long configRevision = -1;
+  private long nextDeadlineCheckNanos;
+
+  RequestCoordinator(
+      Blackboard blackboard,
+      ClaimController claims,
+      HttpConnector connector,
+      MonotonicClock clock,
+      Executor controlThread,
+      MetricRegistry metrics) {
+    this.blackboard = blackboard;
+    this.claims = claims;
+    this.connector = connector;
+    this.clock = clock;
+    this.controlThread = controlThread;
+    this.metrics = metrics;
+  }
+
+  /** Connects the routing that calls this dispatcher; called once, before the first request. */
+  void connect(RoutingController newRouting) {
+    routing = newRouting;
+  }
+
+  /** Returns the requests that have not ended. */
+  int inFlight() {
+    return flows.size();
+  }
+
+  void begin(CallerRequest request, HttpExchange exchange) {
+    RequestFlow flow = new RequestFlow(request, exchange);
+    exchange.onClose(() -> controlThread.execute(() -> callerClosed(flow)));
+    if (flow.identity().isEmpty()) {
+      // Without a key nobody can repeat the request, and this instance dispatches it once.
+      submit(flow);
+      return;
+    }
+    claims
+        .claim(
+            flow.identity().get(),
+            flow.content(),
+            request.target().route().idempotent(),
+            clock.nanoTime())
+        .thenAccept(outcome -> onClaim(flow, outcome));
+  }
+
+  private void onClaim(RequestFlow flow, ClaimOutcome outcome) {
+    if (outcome instanceof ClaimOutcome.Granted) {
+      submit(flow);
+    } else if (outcome instanceof ClaimOutcome.Answered answered) {
+      repeatResponse(flow, answered.response());
+    } else if (outcome instanceof ClaimOutcome.Running running) {
+      onRunning(flow, running);
+    } else if (outcome instanceof ClaimOutcome.Unknown unknown) {
+      refuse(
+          flow,
+          new RequestException(
+              ErrorKind.OUTCOME_UNKNOWN,
+              "an earlier attempt may have run",
+              unknown.retryAfterMillis()));
+    } else if (outcome instanceof ClaimOutcome.KeyReused) {
+      refuse(flow, ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with another body");
+    } else if (outcome instanceof ClaimOutcome.Expired) {
+      refuse(flow, ErrorKind.IDEMPOTENCY_KEY_EXPIRED, "the key is older than the claim window");
+    } else if (outcome instanceof ClaimOutcome.Unavailable unavailable) {
+      refuse(
+          flow,
+          new RequestException(
+              ErrorKind.STORE_UNAVAILABLE,
+              "the claim could not be stored",
+              unavailable.retryAfterMillis()));
+    }
+  }
+
+  private void submit(RequestFlow flow) {
+    if (flow.isCallerGone()) {
+      released(flow);
+      flow.enter(RequestFlow.Phase.ENDED);
+      return;
+    }
+    flow.enter(RequestFlow.Phase.WAITING);
+    flows.put(flow.request().requestId(), flow);
+    routing.submit(flow.toPending(), clock.nanoTime());
+  }
+
+  private void repeatResponse(RequestFlow flow, StoredResponse response) {
+    flow.enter(RequestFlow.Phase.ENDED);
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Content-Type", response.contentType());
+    headers.put("Request-Id", flow.request().requestId());
+    headers.put("Idempotency-Replayed", "true");
+    count("requests.replayed");
+    flow.exchange().respond(response.status(), headers, response.body());
+  }
+
+  /** Resumes a stream whose entry instance has ended; otherwise asks the caller to come back. */
+  private void onRunning(RequestFlow flow, ClaimOutcome.Running running) {
+    Optional<EndpointDeclaration> endpoint = endpoint(running.endpointId());
+    boolean takenOver =
+        running.streamable() && running.instanceId().equals(claims.instanceId()) && flow.isStream();
+    if (!takenOver || endpoint.isEmpty()) {
+      refuse(
+          flow,
+          new RequestException(
+              ErrorKind.OUTCOME_UNKNOWN,
+              "an earlier attempt is still running",
+              RUNNING_RETRY_MILLIS));
+      return;
+    }
+    flow.enter(RequestFlow.Phase.RUNNING);
+    flows.put(flow.request().requestId(), flow);
+    count("requests.resumed");
+    long from = flow.request().resumeFromOffset().orElse(-1) + 1;
+    send(
+        flow,
+        endpoint.get(),
+        "/streams/" + flow.request().requestId() + "/resume?from=" + from,
+        NO_BODY,
+        from);
+  }
+
+  // Dispatcher
+
+  @Override
+  public void dispatch(PendingRequest pending, String endpointId) {
+    RequestFlow flow = flows.get(pending.requestId());
+    Optional<EndpointDeclaration> endpoint = endpoint(endpointId);
+    if (flow == null || endpoint.isEmpty()) {
+      controlThread.execute(
+          () -> completed(pending.requestId(), RequestOutcome.of(RequestOutcome.Kind.REFUSED)));
+      return;
+    }
+    flow.enter(RequestFlow.Phase.RUNNING);
+    flow.identity().ifPresent(id -> claims.dispatched(id, endpointId, clock.nanoTime()));
+    count("requests.dispatched");
+    send(flow, endpoint.get(), flow.request().target().route().path(), flow.request().body(), 0);
+  }
+
+  @Override
+  public void refuse(PendingRequest pending, RequestException reason) {
+    RequestFlow flow = flows.remove(pending.requestId());
+    if (flow != null) {
+      released(flow);
+      refuse(flow, reason);
+    }
+  }
+
+  @Override
+  public void move(PendingRequest pending, String endpointId) {
+    // Running requests finish at the endpoint that drains; it takes no new ones.
+    LOG.debugf("request.finishes_at_drain request=%s endpoint=%s", pending.requestId(), endpointId);
+  }
+
+  // Endpoint
+
+  private void send(
+      RequestFlow flow, EndpointDeclaration endpoint, String path, byte[] body, long firstOffset) {
+    InetSocketAddress address = Addresses.parse(endpoint.address());
+    ResponseRelay relay =
+        new ResponseRelay(
+            flow.request().requestId(),
+            flow.exchange(),
+            clock,
+            firstOffset,
+            flow.identity().isPresent() && firstOffset == 0,
+            result -> controlThread.execute(() -> onResult(flow, result)));
+    HttpCall call =
+        connector.send(address, "POST", path, endpointHeaders(flow.request()), body, relay);
+    relay.attach(call);
+    flow.running(call, relay);
+  }
+
+  private static Map<String, String> endpointHeaders(CallerRequest request) {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Content-Type", "application/json");
+    headers.put("Request-Id", request.requestId());
+    request.idempotencyKey().ifPresent(key -> headers.put("Idempotency-Key", key));
+    return headers;
+  }
+
+  private void onResult(RequestFlow flow, EndpointResult result) {
+    if (flow.phase() != RequestFlow.Phase.RUNNING) {
+      return;
+    }
+    if (result.outcome() == EndpointOutcome.NOT_RUN) {
+      // Routing dispatches the request elsewhere or refuses it.
+      flow.enter(RequestFlow.Phase.WAITING);
+      completed(flow.request().requestId(), RequestOutcome.of(RequestOutcome.Kind.REFUSED));
+      return;
+    }
+    flows.remove(flow.request().requestId());
+    if (result.outcome() == EndpointOutcome.ANSWERED) {
+      answered(flow, result);
+    } else {
+      failed(flow, result);
+    }
+    completed(flow.request().requestId(), outcome(flow, result));
+  }
+
+  private void answered(RequestFlow flow, EndpointResult result) {
+    flow.enter(RequestFlow.Phase.ENDED);
+    count("requests.answered");
+    flow.identity().ifPresent(id -> claims.answered(id, storedResponse(result), clock.nanoTime()));
+    flow.relay().ifPresent(ResponseRelay::finish);
+  }
+
+  private static StoredResponse storedResponse(EndpointResult result) {
+    if (result.bodyWhole()) {
+      return new StoredResponse(result.status(), result.contentType(), result.body());
+    }
+    ProblemDocument problem =
+        ProblemDocument.of(
+            new RequestException(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the request ran, but its response is too large to be repeated"));
+    return new StoredResponse(problem.status(), "application/problem+json", problem.body());
+  }
+
+  private void failed(RequestFlow flow, EndpointResult result) {
+    flow.identity().ifPresent(id -> claims.failed(id, clock.nanoTime()));
+    boolean idempotent = flow.request().target().route().idempotent();
+    ErrorKind kind = result.outcome().errorKind().orElse(ErrorKind.INTERNAL);
+    fail(
+        flow,
+        new RequestException(idempotent ? kind : ErrorKind.OUTCOME_UNKNOWN, result.detail()),
+        result.headSent());
+  }
+
+  private static RequestOutcome outcome(RequestFlow flow, EndpointResult result) {
+    RequestOutcome.Kind kind =
+        switch (result.outcome()) {
+          case ANSWERED -> RequestOutcome.Kind.SUCCEEDED;
+          case NOT_RUN -> RequestOutcome.Kind.REFUSED;
+          case FAILED ->
+              result.connectionLost() ? RequestOutcome.Kind.CRASHED : RequestOutcome.Kind.FAILED;
+          case TRUNCATED -> RequestOutcome.Kind.FAILED;
+          case TIMED_OUT, CANCELLED -> RequestOutcome.Kind.CANCELLED;
+        };
+    return new RequestOutcome(
+        kind,
+        flow.isStream() ? RequestContent.promptTokens(flow.request().body()) : 1,
+        0,
+        Math.max(1, result.tokens()),
+        Math.max(1, result.firstByteNanos()),
+        Math.max(1, result.totalNanos()));
+  }
+
+  private void completed(String requestId, RequestOutcome outcome) {
+    routing.completed(requestId, outcome, clock.nanoTime());
+  }
+
+  // The end of callers and deadlines
+
+  private void callerClosed(RequestFlow flow) {
+    flow.callerGone();
+    if (flow.phase() == RequestFlow.Phase.WAITING) {
+      flows.remove(flow.request().requestId());
+      flow.enter(RequestFlow.Phase.ENDED);
+      routing.cancelled(flow.request().requestId(), clock.nanoTime());
+      released(flow);
+    } else if (flow.phase() == RequestFlow.Phase.RUNNING && !flow.finishesWithoutCaller()) {
+      stop(flow, EndpointOutcome.CANCELLED);
+    }
+  }
+
+  /** Stops a running request at its endpoint. */
+  private void stop(RequestFlow flow, EndpointOutcome reason) {
+    flows.remove(flow.request().requestId());
+    flow.cancelCall();
+    flow.identity().ifPresent(id -> claims.failed(id, clock.nanoTime()));
+    count("requests." + reason);
+    boolean headSent = flow.relay().map(ResponseRelay::isStreaming).orElse(false);
+    flow.fail(
+        new RequestException(reason.errorKind().orElse(ErrorKind.INTERNAL), reason.toString()),
+        headSent);
+    completed(flow.request().requestId(), RequestOutcome.of(RequestOutcome.Kind.CANCELLED));
+  }
+
+  @Override
+  public void onTick(long nowNanos) {
+    if (nowNanos - nextDeadlineCheckNanos < 0) {
+      return;
+    }
+    nextDeadlineCheckNanos = nowNanos + DEADLINE_CHECK_NANOS;
+    for (RequestFlow flow : new ArrayList<>(flows.values())) {
+      boolean late = nowNanos - flow.request().deadlineNanos() >= 0;
+      if (late && flow.phase() == RequestFlow.Phase.RUNNING && flow.endsAtDeadline()) {
+        stop(flow, EndpointOutcome.TIMED_OUT);
+      }
+    }
+  }
+
+  @Override
+  public Map<String, Object> dump() {
+    Map<RequestFlow.Phase, Integer> byPhase = new HashMap<>();
+    flows.values().forEach(flow -> byPhase.merge(flow.phase(), 1, Integer::sum));
+    return Map.of("inFlight", flows.size(), "byPhase", byPhase);
+  }
+
+  private void released(RequestFlow flow) {
+    flow.identity().ifPresent(id -> claims.released(id, clock.nanoTime()));
+  }
+
+  private void refuse(RequestFlow flow, ErrorKind kind, String detail) {
+    refuse(flow, new RequestException(kind, detail));
+  }
+
+  private void refuse(RequestFlow flow, RequestException reason) {
+    fail(flow, reason, false);
+  }
+
+  private void fail(RequestFlow flow, RequestException reason, boolean headSent) {
+    count("requests.failed." + reason.kind());
+    flow.fail(reason, headSent);
+  }
+
+  private void count(String name) {
+    metrics.counter(name).inc();
+  }
+
+  private Optional<EndpointDeclaration> endpoint(String endpointId) {
+    ConfigSnapshot config = blackboard.read(ConfigSnapshot.ENTRY);
+    if (config.revision() != configRevision) {
+      configRevision = config.revision();
+      endpoints.clear();
+      for (ServiceDeclaration service : config.declarations().services()) {
+        service.endpoints().forEach(endpoint -> endpoints.put(endpoint.id(), endpoint));
+      }
+    }
+    return Optional.ofNullable(endpoints.get(endpointId));
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RequestFlow.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RequestFlow.java
@@ -1,104 +1,145 @@
 package org.buckthornferry.node;
 
-import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
-import java.util.Map;
-import java.util.concurrent.Executor;
-import org.buckthornferry.config.EndpointDeclaration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.buckthornferry.admission.Tier;
+import org.buckthornferry.config.ServiceKind;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
-import org.buckthornferry.http.Addresses;
 import org.buckthornferry.http.HttpCall;
-import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.ProblemDocument;
-import org.buckthornferry.util.MonotonicClock;
+import org.buckthornferry.request.ContentHash;
+import org.buckthornferry.request.RequestIdentity;
+import org.buckthornferry.routing.PendingRequest;
 
 /** One request from its arrival to the end of its response. Used only on the control thread. */
 final class RequestFlow {
+  /** How far a request has come. */
+  enum Phase {
+    /** Its claim is being asked for. */
+    CLAIMING,
+    /** It waits for an endpoint. */
+    WAITING,
+    /** An endpoint runs it. */
+    RUNNING,
+    /** Its response was sent, or its caller has gone. */
+    ENDED
+  }
+
   private final CallerRequest request;
   private final HttpExchange exchange;
-  private final HttpConnector connector;
-  private final MonotonicClock clock;
-  private final Executor controlThread;
-  private final EndpointSelection selection;
-  private HttpCall call;
-
-  RequestFlow(
-      CallerRequest request,
-      HttpExchange exchange,
-      HttpConnector connector,
-      MonotonicClock clock,
-      Executor controlThread,
-      EndpointSelection selection) {
+  private final Optional<RequestIdentity> identity;
+  private final ContentHash content;
+  private Phase phase = Phase.CLAIMING;
+  private boolean callerGone;
+  private Optional<HttpCall> call = Optional.empty();
+  private Optional<ResponseRelay> relay = Optional.empty();
+
+  RequestFlow(CallerRequest request, HttpExchange exchange) {
     this.request = request;
     this.exchange = exchange;
-    this.connector = connector;
-    this.clock = clock;
-    this.controlThread = controlThread;
-    this.selection = selection;
-  }
-
-  void begin() {
-    exchange.onClose(() -> controlThread.execute(this::callerClosed));
-    EndpointDeclaration endpoint =
-        selection
-            .choose(request.target().service())
-            .orElseThrow(
-                () -> new RequestException(ErrorKind.NO_ENDPOINT, "no endpoint is available"));
-    dispatch(endpoint);
-  }
-
-  void refuse(RequestException refusal) {
-    ProblemDocument.of(refusal).sendTo(exchange);
-  }
-
-  private void dispatch(EndpointDeclaration endpoint) {
-    selection.started(endpoint.id());
-    InetSocketAddress address = Addresses.parse(endpoint.address());
-    ResponseRelay[] relay = new ResponseRelay[1];
-    relay[0] =
-        new ResponseRelay(
-            request.requestId(),
-            exchange,
-            clock,
-            0,
-            result -> controlThread.execute(() -> ended(endpoint, relay[0], result)));
-    call =
-        connector.send(
-            address,
-            "POST",
-            request.target().route().path(),
-            endpointHeaders(),
-            request.body(),
-            relay[0]);
-    relay[0].attach(call);
-  }
-
-  private Map<String, String> endpointHeaders() {
-    Map<String, String> headers = new LinkedHashMap<>();
-    headers.put("Content-Type", "application/json");
-    headers.put("Request-Id", request.requestId());
-    request.idempotencyKey().ifPresent(key -> headers.put("Idempotency-Key", key));
-    return headers;
-  }
-
-  private void ended(EndpointDeclaration endpoint, ResponseRelay relay, EndpointResult result) {
-    selection.finished(endpoint.id());
-    if (result.outcome() == EndpointOutcome.ANSWERED) {
-      relay.finish();
-    } else if (result.headSent()) {
+    this.identity =
+        request.idempotencyKey().map(key -> new RequestIdentity(request.customer().id(), key));
+    this.content = ContentHash.of(request.target().route().path(), request.body());
+  }
+
+  CallerRequest request() {
+    return request;
+  }
+
+  HttpExchange exchange() {
+    return exchange;
+  }
+
+  /** Returns the identity by which the caller can repeat the request; empty without a key. */
+  Optional<RequestIdentity> identity() {
+    return identity;
+  }
+
+  ContentHash content() {
+    return content;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  void enter(Phase newPhase) {
+    phase = newPhase;
+  }
+
+  boolean isCallerGone() {
+    return callerGone;
+  }
+
+  void callerGone() {
+    callerGone = true;
+  }
+
+  void running(HttpCall newCall, ResponseRelay newRelay) {
+    call = Optional.of(newCall);
+    relay = Optional.of(newRelay);
+  }
+
+  Optional<ResponseRelay> relay() {
+    return relay;
+  }
+
+  void cancelCall() {
+    call.ifPresent(HttpCall::cancel);
+  }
+
+  /**
+   * Returns whether a caller that has gone may come back for the response with the same key, so
+   * that the endpoint should finish the request.
+   */
+  boolean finishesWithoutCaller() {
+    return identity.isPresent();
+  }
+
+  /** Returns whether the request is cancelled when its deadline passes after dispatch. */
+  boolean endsAtDeadline() {
+    return request.tier() != Tier.CRITICAL && request.target().route().idempotent();
+  }
+
+  boolean isStream() {
+    return request.target().service().kind() == ServiceKind.MODEL;
+  }
+
+  PendingRequest toPending() {
+    boolean stream = isStream();
+    return new PendingRequest(
+        request.requestId(),
+        request.target().service().id(),
+        request.target().route().path(),
+        request.tier(),
+        request.customer().id(),
+        request.customer().weight(),
+        String.format(Locale.ROOT, "%016x%016x", content.high(), content.low()),
+        stream ? RequestContent.prefixHashes(request.body()) : List.of(),
+        stream ? RequestContent.promptTokens(request.body()) : 1,
+        request.body().length + BOOKKEEPING_BYTES,
+        request.receivedNanos(),
+        request.deadlineNanos(),
+        false);
+  }
+
+  /** The memory of a waiting request besides its body, in bytes. */
+  private static final long BOOKKEEPING_BYTES = 2_048;
+
+  /** Answers with a problem document, or breaks a stream off that has begun. */
+  void fail(RequestException failure, boolean headSent) {
+    phase = Phase.ENDED;
+    if (headSent) {
       exchange.abort();
     } else {
-      refuse(
-          new RequestException(
-              result.outcome().errorKind().orElse(ErrorKind.INTERNAL), result.detail()));
+      ProblemDocument.of(failure).sendTo(exchange);
     }
   }
 
-  private void callerClosed() {
-    if (call != null) {
-      call.cancel();
-    }
+  void fail(ErrorKind kind, String detail) {
+    fail(new RequestException(kind, detail), false);
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/node/ResponseRelay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/ResponseRelay.java
@@ -17,6 +17,10 @@
  */
 final class ResponseRelay implements HttpResponseListener {
   private static final int MAX_HELD_BYTES = 4 << 20;
+
+  /** A stream above this size is not kept for repeats of its request. */
+  private static final int MAX_KEPT_STREAM_BYTES = 256 << 10;
+
   private static final String EVENT_STREAM = "text/event-stream";
 
   private final String requestId;
@@ -25,11 +29,14 @@
   private final long dispatchedNanos;
   private final Consumer<EndpointResult> onResult;
   private final EventStreamInspector inspector;
+  private final boolean keepStream;
   private final ByteArrayOutputStream held = new ByteArrayOutputStream();
   private HttpCall call;
   private int status;
-  private boolean streaming;
+  private volatile boolean streaming;
   private boolean mismatched;
+  private boolean streamTooLarge;
+  private boolean connectionLost;
   private boolean refusedNotRun;
   private String contentType = "application/octet-stream";
   private long firstByteNanos;
@@ -39,12 +46,14 @@
       HttpExchange exchange,
       MonotonicClock clock,
       long firstOffset,
+      boolean keepStream,
       Consumer<EndpointResult> onResult) {
     this.requestId = requestId;
     this.exchange = exchange;
     this.clock = clock;
     this.dispatchedNanos = clock.nanoTime();
     this.onResult = onResult;
+    this.keepStream = keepStream;
     this.inspector = new EventStreamInspector(firstOffset);
   }
 
@@ -74,6 +83,7 @@
     }
     if (streaming) {
       inspector.accept(part);
+      keep(part);
       exchange.write(part);
       if (!exchange.isWritable() && call != null) {
         call.setReading(false);
@@ -102,6 +112,7 @@
 
   @Override
   public void onFailure(Throwable cause, boolean bytesSent) {
+    connectionLost = true;
     report(
         bytesSent ? EndpointOutcome.FAILED : EndpointOutcome.NOT_RUN,
         String.valueOf(cause.getMessage()));
@@ -116,6 +127,20 @@
     }
   }
 
+  private void keep(byte[] part) {
+    if (keepStream && !streamTooLarge) {
+      streamTooLarge = held.size() + part.length > MAX_KEPT_STREAM_BYTES;
+      if (!streamTooLarge) {
+        held.writeBytes(part);
+      }
+    }
+  }
+
+  /** Returns whether the caller has received the head of a stream. */
+  boolean isStreaming() {
+    return streaming;
+  }
+
   private Map<String, String> responseHeaders() {
     Map<String, String> headers = new LinkedHashMap<>();
     headers.put("Content-Type", contentType);
@@ -130,8 +155,11 @@
             outcome,
             detail,
             streaming,
+            connectionLost,
             status,
-            streaming ? new byte[0] : held.toByteArray(),
+            contentType,
+            held.toByteArray(),
+            !streaming || (keepStream && !streamTooLarge),
             inspector.tokens(),
             firstByteNanos,
             clock.nanoTime() - dispatchedNanos));
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RolloutGate.java
@@ -0,0 +1,65 @@
+package org.buckthornferry.node;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.rollout.CompletedRequest;
+import org.buckthornferry.rollout.RolloutController;
+import org.buckthornferry.routing.RequestOutcome;
+import org.buckthornferry.routing.VersionGate;
+
+/** Lets routing follow version moves and reports results to them. */
+final class RolloutGate implements VersionGate {
+  /** The new version gets this long to take the next request before the old one may again. */
+  private static final long PREFER_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  private final RolloutController rollouts;
+  private final Map<String, String> routeOfRequest = new HashMap<>();
+  private final Map<String, Long> preferredSinceNanos = new HashMap<>();
+
+  RolloutGate(RolloutController rollouts) {
+    this.rollouts = rollouts;
+  }
+
+  @Override
+  public boolean mayDispatch(String serviceId, String version, long nowNanos) {
+    if (!rollouts.mayDispatch(serviceId, version)) {
+      return false;
+    }
+    boolean preferred = rollouts.preferredVersion(serviceId).map(version::equals).orElse(true);
+    if (preferred) {
+      return true;
+    }
+    long sinceNanos = preferredSinceNanos.computeIfAbsent(serviceId, id -> nowNanos);
+    return nowNanos - sinceNanos >= PREFER_NANOS;
+  }
+
+  @Override
+  public void dispatched(
+      String requestId, String serviceId, String version, String routePath, long nowNanos) {
+    preferredSinceNanos.remove(serviceId);
+    routeOfRequest.put(requestId, routePath);
+    rollouts.dispatched(serviceId, version);
+  }
+
+  @Override
+  public void completed(
+      String requestId, String serviceId, String version, RequestOutcome outcome, long nowNanos) {
+    String route = routeOfRequest.remove(requestId);
+    switch (outcome.kind()) {
+      case SUCCEEDED, FAILED, CRASHED ->
+          rollouts.completed(
+              new CompletedRequest(
+                  serviceId,
+                  version,
+                  route == null ? "unknown" : route,
+                  outcome.kind() != RequestOutcome.Kind.SUCCEEDED,
+                  latencyPerTokenNanos(outcome)));
+      case REFUSED, CANCELLED -> rollouts.ended(serviceId, version);
+    }
+  }
+
+  private static double latencyPerTokenNanos(RequestOutcome outcome) {
+    return (double) outcome.totalNanos() / Math.max(1, outcome.decodeTokens());
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/ShardClaimOwnership.java
@@ -0,0 +1,32 @@
+package org.buckthornferry.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.buckthornferry.request.FormerOwner;
+import org.buckthornferry.request.OwnershipCheck;
+import org.buckthornferry.shard.ShardController;
+import org.buckthornferry.shard.ShardKind;
+import org.buckthornferry.shard.ShardRecord;
+
+/** Answers the ownership questions of claims from the shard records. */
+final class ShardClaimOwnership implements OwnershipCheck {
+  private final ShardController shards;
+
+  ShardClaimOwnership(ShardController shards) {
+    this.shards = shards;
+  }
+
+  @Override
+  public boolean ownsNow(int shard, long nowNanos) {
+    return shards.ownsNow(ShardKind.CLAIM, shard, nowNanos);
+  }
+
+  @Override
+  public List<FormerOwner> formerOwners(int shard) {
+    List<FormerOwner> owners = new ArrayList<>();
+    for (ShardRecord.FormerOwner owner : shards.formerOwners(ShardKind.CLAIM, shard)) {
+      owners.add(new FormerOwner(owner.instanceId(), owner.incarnation()));
+    }
+    return owners;
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/request/ClaimController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimController.java
@@ -118,6 +118,11 @@
     client.failed(identity, nowNanos);
   }
 
+  /** Returns the id of this instance, as in {@link ClaimOutcome.Running}. */
+  public String instanceId() {
+    return self.instanceId();
+  }
+
   /** Returns whether this process answers claims of a shard. */
   public boolean serves(int shard) {
     return owner.served().containsKey(shard);
--- a/buckthornferry/src/main/java/org/buckthornferry/shard/ShardController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/shard/ShardController.java
@@ -146,6 +146,15 @@
     return verdict == StoreAgreement.Verdict.DOWN && lease.isFailing();
   }
 
+  /**
+   * Returns the former owners in the record of a shard that this instance owns, newest first; empty
+   * when the record is not known.
+   */
+  public List<ShardRecord.FormerOwner> formerOwners(ShardKind kind, int shard) {
+    ShardSlot.Stored stored = slot(kind, shard).stored();
+    return stored == null ? List.of() : stored.shardRecord().formerOwners();
+  }
+
   /**
    * Returns whether this instance may send an order to an endpoint now. Orders to an endpoint that
    * ignores fencing numbers wait until a paused former owner must have noticed its loss.
--- a/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
+++ b/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
@@ -4,6 +4,8 @@
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 import org.buckthornferry.config.Settings;
 import org.buckthornferry.node.EntryNode;
 
@@ -20,6 +22,7 @@
 
   @Override
   public ExitCode run() throws Exception {
+    logJsonLines();
     Settings settings = Settings.load(Path.of(settingsFile));
     EntryNode node = new EntryNode(settings);
     CountDownLatch stopped = new CountDownLatch(1);
@@ -35,4 +38,11 @@
     stopped.await();
     return ExitCode.SUCCESS;
   }
+
+  private static void logJsonLines() {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      handler.setFormatter(new JsonLogFormatter());
+    }
+  }
 }
