--- a/standins/src/main/java/org/buckthornferry/load/CallerRequest.java
+++ b/standins/src/main/java/org/buckthornferry/load/CallerRequest.java
@@ -24,6 +24,7 @@
   private final Consumer<RequestRecord> onEnd;
   private final List<AttemptRecord> attempts = new ArrayList<>();
   private HttpCall call;
+  private Attempt running;
   private int sent;
   private boolean ended;
 
@@ -61,12 +62,12 @@
       return;
     }
     InetSocketAddress target = context.targets().choose(arrival, sent);
-    Attempt attempt = new Attempt(target, context.wallMillis().getAsLong());
+    running = new Attempt(target, context.wallMillis().getAsLong());
     sent++;
     call =
         context
             .connector()
-            .send(target, "POST", arrival.requestClass().path(), headers(), body.bytes(), attempt);
+            .send(target, "POST", arrival.requestClass().path(), headers(), body.bytes(), running);
   }
 
   private Map<String, String> headers() {
@@ -95,10 +96,13 @@
     return Math.max(1, arrival.requestClass().deadlineMillis() - spentMillis);
   }
 
-  private synchronized void onAttemptEnd(AttemptRecord attempt, boolean complete) {
+  private synchronized void onAttemptEnd(
+      InetSocketAddress target, AttemptRecord attempt, boolean complete) {
     if (ended) {
       return;
     }
+    running = null;
+    context.targets().ended(target);
     attempts.add(attempt);
     if (complete) {
       finish(Outcome.COMPLETE);
@@ -117,8 +121,10 @@
     if (ended) {
       return;
     }
-    if (call != null) {
+    if (running != null) {
       call.cancel();
+      context.targets().ended(running.target);
+      attempts.add(running.toRecord(Outcome.GAVE_UP.name(), false, 0));
     }
     finish(Outcome.GAVE_UP);
   }
@@ -204,24 +210,23 @@
 
     @Override
     public void onEnd() {
-      context.targets().ended(target);
       if (isSuccess()) {
         boolean complete;
         synchronized (CallerRequest.this) {
           complete = !ended && check.end();
         }
-        onAttemptEnd(toRecord("", false, 0), complete);
+        onAttemptEnd(target, toRecord("", false, 0), complete);
       } else {
         ProblemReader.Problem read = problem.read(status, retryAfterMillis);
-        onAttemptEnd(toRecord(read.errorKind(), read.notRun(), read.retryAfterMillis()), false);
+        onAttemptEnd(
+            target, toRecord(read.errorKind(), read.notRun(), read.retryAfterMillis()), false);
       }
     }
 
     @Override
     public void onFailure(Throwable cause, boolean bytesSent) {
-      context.targets().ended(target);
       String kind = bytesSent ? Retry.CONNECTION_LOST : Retry.CONNECT_FAILED;
-      onAttemptEnd(toRecord(kind, !bytesSent, 0), false);
+      onAttemptEnd(target, toRecord(kind, !bytesSent, 0), false);
     }
 
     private boolean isSuccess() {
--- a/standins/src/main/java/org/buckthornferry/load/LoadOptions.java
+++ b/standins/src/main/java/org/buckthornferry/load/LoadOptions.java
@@ -8,10 +8,7 @@
 
 /** The options of the load command. JCommander sets the fields. */
 @Parameters(commandDescription = "Sends a load scenario and writes its reports")
-public final class LoadOptions {
-  @Parameter(names = "--help", help = true, description = "Prints the options")
-  boolean help;
-
+final class LoadOptions {
   @Parameter(names = "--scenario", required = true, description = "Scenario file")
   Path scenario;
 
--- a/standins/src/main/java/org/buckthornferry/load/RequestChecks.java
+++ b/standins/src/main/java/org/buckthornferry/load/RequestChecks.java
@@ -40,8 +40,7 @@
     for (RequestRecord request : requests) {
       int runs = runsByHash.getOrDefault(request.contentHash(), 0);
       long mayHaveRun = request.attempts().stream().filter(a -> !a.notRun()).count();
-      boolean cancelled = request.outcome() == Outcome.GAVE_UP;
-      if (mayHaveRun == 0 && !cancelled && !request.attempts().isEmpty() && runs > 0) {
+      if (mayHaveRun == 0 && !request.attempts().isEmpty() && runs > 0) {
         add("P7", request, "every answer said not run, but it ran " + runs + " times");
       }
     }
--- a/standins/src/main/java/org/buckthornferry/load/StreamCheck.java
+++ b/standins/src/main/java/org/buckthornferry/load/StreamCheck.java
@@ -47,6 +47,7 @@
     requestId = newRequestId;
     line = new ByteArrayOutputStream();
     firstOfAttempt = true;
+    done = false;
     lastTokenNanos = 0;
     clearEvent();
   }
--- a/standins/src/main/java/org/buckthornferry/standin/Engine.java
+++ b/standins/src/main/java/org/buckthornferry/standin/Engine.java
@@ -10,9 +10,11 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.util.MonotonicClock;
+import org.jboss.logging.Logger;
 
 /** An engine with its streams, faults and log, without its protocol. Used by one thread. */
 final class Engine {
+  private static final Logger LOG = Logger.getLogger(Engine.class);
   private static final int MAX_ENDED_STREAMS = 2_000;
 
   private final EngineSettings settings;
@@ -165,14 +167,25 @@
   boolean execute(Order order, long fencingNumber) {
     boolean accepted = fencing.accept(fencingNumber);
     orders.add(new OrderLogEntry(order, fencingNumber, accepted, wallMillis.getAsLong()));
-    if (accepted && order.kind().equals("load-version")) {
-      version = order.version();
-      dispatchedOfVersion = 0;
-      coldUntilNanos = clock.nanoTime() + coldNanos();
+    if (accepted) {
+      apply(order);
     }
     return accepted;
   }
 
+  private void apply(Order order) {
+    long nowNanos = clock.nanoTime();
+    switch (order.kind()) {
+      case "load-version" -> {
+        version = order.version();
+        dispatchedOfVersion = 0;
+        coldUntilNanos = nowNanos + coldNanos();
+      }
+      case "warm-up" -> coldUntilNanos = nowNanos + Math.max(0, coldUntilNanos - nowNanos) / 2;
+      default -> LOG.infof("standin.engine.role.changed role=%s", order.role());
+    }
+  }
+
   long highestFencing() {
     return fencing.highest();
   }
--- a/standins/src/main/java/org/buckthornferry/standin/EngineCore.java
+++ b/standins/src/main/java/org/buckthornferry/standin/EngineCore.java
@@ -38,8 +38,13 @@
     this.lastNanos = nowNanos;
   }
 
+  /** Returns the requests in the batch that still need tokens. */
   int running() {
-    return batch.size();
+    int running = 0;
+    for (EngineRun run : batch) {
+      running += run.isComplete() ? 0 : 1;
+    }
+    return running;
   }
 
   int waitingCount() {
@@ -47,7 +52,7 @@
   }
 
   int present() {
-    return batch.size() + waiting.size();
+    return running() + waiting.size();
   }
 
   /** Returns the requests that arrived in a cold start and are still here. */
@@ -63,7 +68,7 @@
   }
 
   boolean isFull() {
-    return batch.size() >= settings.maxBatch() && waiting.size() >= settings.maxWaiting();
+    return running() >= settings.maxBatch() && waiting.size() >= settings.maxWaiting();
   }
 
   long queuedPrefillTokens() {
@@ -149,22 +154,12 @@
   }
 
   private void admitWaiting() {
-    while (!waiting.isEmpty() && batchSlots() > 0) {
+    while (!waiting.isEmpty() && running() < settings.maxBatch()) {
       EngineRun run = waiting.removeFirst();
       run.admit(cache.cachedTokens(run.spec().prefixHashes()));
       batch.add(run);
     }
-    maxRunning = Math.max(maxRunning, batch.size());
-  }
-
-  private int batchSlots() {
-    int slots = settings.maxBatch();
-    for (EngineRun run : batch) {
-      if (!run.isComplete()) {
-        slots--;
-      }
-    }
-    return slots;
+    maxRunning = Math.max(maxRunning, running());
   }
 
   private void prefill(double budgetTokens) {
--- /dev/null
+++ b/standins/src/main/resources/META-INF/services/org.buckthornferry.cli.Command
@@ -0,0 +1,1 @@
+org.buckthornferry.load.LoadCommand
--- a/standins/src/test/java/org/buckthornferry/standin/EngineCoreTest.java
+++ b/standins/src/test/java/org/buckthornferry/standin/EngineCoreTest.java
@@ -43,7 +43,7 @@
     while (core.present() > 0) {
       nowNanos += random.nextLong(1, TimeUnit.MILLISECONDS.toNanos(50));
       core.advance(nowNanos, 1);
-      assertThat(core.running()).isAtMost(maxBatch * 2);
+      assertThat(core.running()).isAtMost(maxBatch);
       core.endComplete(0);
     }
     long prefilled = 0;
@@ -60,7 +60,7 @@
     EngineStats stats = core.stats(requests, 0, 0, 0);
     assertThat(Math.abs(stats.prefillTokens() - prefilled)).isAtMost(requests);
     assertThat(stats.wastedPrefillTokens()).isEqualTo(0);
-    assertThat(stats.maxRunning()).isAtMost(maxBatch * 2);
+    assertThat(stats.maxRunning()).isAtMost(maxBatch);
     assertThat(cache.heldTokens()).isAtMost(cacheTokens);
   }
 
