Allow the repeat of a failed dispatch in the check of P1

Section 4.6 makes the repeat of an idempotent request whose dispatch failed a new request, so the checker flagged correct behaviour.

--- a/standins/src/main/java/org/buckthornferry/load/DispatchChecks.java
+++ b/standins/src/main/java/org/buckthornferry/load/DispatchChecks.java
@@ -83,6 +83,9 @@
   }
 
   private void checkRepeats(RequestRecord request, List<Dispatch> same) {
+    if (same.size() <= 1 + request.failedDispatches()) {
+      return;
+    }
     List<Dispatch> ordered = new ArrayList<>(same);
     ordered.sort(Comparator.comparingLong(Dispatch::startMillis));
     for (int later = 1; later < ordered.size(); later++) {
--- a/standins/src/main/java/org/buckthornferry/load/RequestRecord.java
+++ b/standins/src/main/java/org/buckthornferry/load/RequestRecord.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.List;
+import java.util.Set;
 import org.buckthornferry.admission.Tier;
 import org.buckthornferry.config.ServiceKind;
+import org.buckthornferry.error.ErrorKind;
 
 /**
  * The whole life of one request, as its caller saw it.
@@ -41,6 +43,13 @@
     List<AttemptRecord> attempts) {
   private static final long MICROS_PER_MILLI = 1_000;
 
+  /** After these answers the repeat of an idempotent request is a new request. */
+  private static final Set<String> FAILED_DISPATCHES =
+      Set.of(
+          ErrorKind.ENDPOINT_FAILED.name(),
+          ErrorKind.TRUNCATED_ANSWER.name(),
+          ErrorKind.DEADLINE_EXCEEDED.name());
+
   /** Copies the lists. */
   public RequestRecord {
     mismatches = List.copyOf(mismatches);
@@ -53,6 +62,15 @@
     return outcome == Outcome.COMPLETE && latencyMicros <= deadlineMillis * MICROS_PER_MILLI;
   }
 
+  /** Returns how often the caller was told that a dispatch of this idempotent request failed. */
+  @JsonIgnore
+  public int failedDispatches() {
+    if (!idempotent) {
+      return 0;
+    }
+    return (int) attempts.stream().filter(a -> FAILED_DISPATCHES.contains(a.errorKind())).count();
+  }
+
   /** Returns the prompt tokens plus the tokens to generate. */
   @JsonIgnore
   public long costTokens() {
--- a/standins/src/test/java/org/buckthornferry/load/HistoryCheckerTest.java
+++ b/standins/src/test/java/org/buckthornferry/load/HistoryCheckerTest.java
@@ -55,6 +55,18 @@
     assertThat(checkRuns(run("r1", 0, "crashed"), run("r2", 50, "crashed"))).doesNotContain("P1");
   }
 
+  /** Guards against an alarm when the dispatch of an idempotent request was reported as failed. */
+  @Test
+  void repeatAfterReportedFailureKeepsP1() {
+    RequestRecord failedOnce =
+        Records.idempotent(
+            "a", Records.attempt("ENDPOINT_FAILED", false), Records.attempt("", false));
+    EndpointLog log = log(run("r1", 0, "done"), run("r2", 50, "done"));
+    assertThat(check(List.of(failedOnce), log, Map.of(), List.of())).isEmpty();
+    EndpointLog thrice = log(run("r1", 0, "done"), run("r2", 50, "done"), run("r3", 90, "done"));
+    assertThat(check(List.of(failedOnce), thrice, Map.of(), List.of())).containsExactly("P1");
+  }
+
   /** Guards against a missed overload of a cold endpoint. */
   @Test
   void loadAboveTheColdBoundBreaksP4() {
--- a/standins/src/test/java/org/buckthornferry/load/Records.java
+++ b/standins/src/test/java/org/buckthornferry/load/Records.java
@@ -37,6 +37,32 @@
         List.of(attempts));
   }
 
+  static RequestRecord idempotent(String id, AttemptRecord... attempts) {
+    return new RequestRecord(
+        id,
+        "class",
+        ServiceKind.MODEL,
+        Tier.STANDARD,
+        "c",
+        "/p",
+        id,
+        true,
+        "hash-" + id,
+        "steady",
+        true,
+        0,
+        0,
+        1_000,
+        90,
+        10,
+        Outcome.COMPLETE,
+        5_000,
+        0,
+        1,
+        List.of(),
+        List.of(attempts));
+  }
+
   static RequestRecord mismatched(String id) {
     return new RequestRecord(
         id,
