--- a/standins/src/main/java/org/buckthornferry/load/CallerRequest.java
+++ b/standins/src/main/java/org/buckthornferry/load/CallerRequest.java
@@ -15,6 +15,8 @@
 
 /** One request with its repeats, from its intended start until its caller has an outcome. */
 final class CallerRequest {
+  private static final int MAX_SENDINGS_PER_REPEAT = 4;
+
   private final LoadContext context;
   private final Arrival arrival;
   private final String id;
@@ -24,6 +26,7 @@
   private final Consumer<RequestRecord> onEnd;
   private final List<AttemptRecord> attempts = new ArrayList<>();
   private HttpCall call;
+  private Attempt running;
   private int sent;
   private boolean ended;
 
@@ -61,12 +64,12 @@
       return;
     }
     InetSocketAddress target = context.targets().choose(arrival, sent);
-    Attempt attempt = new Attempt(target, context.wallMillis().getAsLong());
+    running = new Attempt(target, context.wallMillis().getAsLong());
     sent++;
     call =
         context
             .connector()
-            .send(target, "POST", arrival.requestClass().path(), headers(), body.bytes(), attempt);
+            .send(target, "POST", arrival.requestClass().path(), headers(), body.bytes(), running);
   }
 
   private Map<String, String> headers() {
@@ -95,10 +98,13 @@
     return Math.max(1, arrival.requestClass().deadlineMillis() - spentMillis);
   }
 
-  private synchronized void onAttemptEnd(AttemptRecord attempt, boolean complete) {
+  private synchronized void onAttemptEnd(
+      InetSocketAddress target, AttemptRecord attempt, boolean complete) {
     if (ended) {
       return;
     }
+    running = null;
+    context.targets().ended(target);
     attempts.add(attempt);
     if (complete) {
       finish(Outcome.COMPLETE);
@@ -106,19 +112,31 @@
     }
     boolean mismatched = attempt.errorKind().isEmpty();
     Retry retry = Retry.of(attempt, arrival.requestClass().idempotencyKey());
-    if (!mismatched && retry.allowed() && sent <= context.maxRepeats()) {
-      schedule(this::send, retry.delayMillis(sent));
+    if (!mismatched && retry.allowed() && mayRepeat()) {
+      schedule(this::send, retry.delayMillis(countedAttempts()));
     } else {
       finish(mismatched ? Outcome.MISMATCHED : retry.finalOutcome());
     }
   }
 
+  /** Sendings that found no listener do not count, as a load balancer would hide them. */
+  private boolean mayRepeat() {
+    int most = context.maxRepeats();
+    return countedAttempts() <= most && sent <= most * MAX_SENDINGS_PER_REPEAT;
+  }
+
+  private int countedAttempts() {
+    return (int) attempts.stream().filter(a -> !a.errorKind().equals(Retry.CONNECT_FAILED)).count();
+  }
+
   private synchronized void giveUp() {
     if (ended) {
       return;
     }
-    if (call != null) {
+    if (running != null) {
       call.cancel();
+      context.targets().ended(running.target);
+      attempts.add(running.toRecord(Outcome.GAVE_UP.name(), false, 0));
     }
     finish(Outcome.GAVE_UP);
   }
@@ -204,24 +222,23 @@
 
     @Override
     public void onEnd() {
-      context.targets().ended(target);
       if (isSuccess()) {
         boolean complete;
         synchronized (CallerRequest.this) {
           complete = !ended && check.end();
         }
-        onAttemptEnd(toRecord("", false, 0), complete);
+        onAttemptEnd(target, toRecord("", false, 0), complete);
       } else {
         ProblemReader.Problem read = problem.read(status, retryAfterMillis);
-        onAttemptEnd(toRecord(read.errorKind(), read.notRun(), read.retryAfterMillis()), false);
+        onAttemptEnd(
+            target, toRecord(read.errorKind(), read.notRun(), read.retryAfterMillis()), false);
       }
     }
 
     @Override
     public void onFailure(Throwable cause, boolean bytesSent) {
-      context.targets().ended(target);
       String kind = bytesSent ? Retry.CONNECTION_LOST : Retry.CONNECT_FAILED;
-      onAttemptEnd(toRecord(kind, !bytesSent, 0), false);
+      onAttemptEnd(target, toRecord(kind, !bytesSent, 0), false);
     }
 
     private boolean isSuccess() {
