--- a/buckthornferry/src/main/java/org/buckthornferry/endpoint/EndpointHealth.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/endpoint/EndpointHealth.java
@@ -146,10 +146,11 @@
    */
   public void onTick(boolean owned, long nowNanos) {
     boolean due = returnNanos - nowNanos <= 0;
-    if (state == EndpointState.STRAGGLING && due) {
+    boolean longDue = returnNanos + ADOPT_NANOS - nowNanos <= 0;
+    if (state == EndpointState.STRAGGLING && (owned ? due : longDue)) {
       restartCold();
     }
-    if (state == EndpointState.FAILED && !owned && returnNanos + ADOPT_NANOS - nowNanos <= 0) {
+    if (state == EndpointState.FAILED && !owned && longDue) {
       restartCold();
     }
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/endpoint/HealthController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/endpoint/HealthController.java
@@ -41,6 +41,7 @@
   private final StragglerDetector stragglers = new StragglerDetector();
   private final Map<String, Tracked> endpoints = new TreeMap<>();
   private final Set<String> changed = new HashSet<>();
+  private final EjectionTable ejections = new EjectionTable();
   private final Set<String> timed = new HashSet<>();
   private Map<String, EndpointStatus> published = new HashMap<>();
   private long revision;
@@ -61,6 +62,7 @@
     final EndpointDeclaration declaration;
     final EndpointHealth health;
     final LoadTracker load = new LoadTracker();
+    final Map<String, Long> observations = new HashMap<>();
     long noticeFencing = -1;
     long noticeSequence;
 
@@ -151,11 +153,12 @@
     }
     changed.add(notice.endpointId());
     if (notice.fencingNumber() == 0) {
-      onObservation(tracked, notice, nowNanos);
+      onObservation(fromInstanceId, tracked, notice, nowNanos);
     } else if (!isOwned(notice.endpointId()) && isNewer(tracked, notice)) {
       tracked.noticeFencing = notice.fencingNumber();
       tracked.noticeSequence = notice.sequence();
       tracked.health.adopt(new EndpointStatus(notice.state(), notice.budgetConcurrent()));
+      ejections.onOwnerState(notice.endpointId(), notice.state());
     }
   }
 
@@ -214,13 +217,19 @@
     timed.retainAll(declared);
   }
 
-  private void onObservation(Tracked tracked, EndpointStateNotice notice, long nowNanos) {
-    EndpointState state = tracked.health.status().state();
+  private void onObservation(
+      String from, Tracked tracked, EndpointStateNotice notice, long nowNanos) {
+    // An observation is sent several times; a late copy must not undo a return.
+    long last = tracked.observations.getOrDefault(from, Long.MIN_VALUE);
+    if (notice.sequence() <= last) {
+      return;
+    }
+    tracked.observations.put(from, notice.sequence());
     switch (notice.state()) {
       case FAILED -> tracked.health.onCrash(nowNanos);
-      case STRAGGLING -> ejectWithinBound(tracked, nowNanos);
+      case STRAGGLING -> tracked.health.eject(nowNanos);
       case COLD -> {
-        if (state == EndpointState.WARM) {
+        if (tracked.health.status().state() == EndpointState.WARM) {
           tracked.health.restartCold();
         }
       }
@@ -252,6 +261,7 @@
   }
 
   private void ejectStragglers(long nowNanos) {
+    ejections.onTick(nowNanos);
     Map<String, List<String>> kinds = new TreeMap<>();
     endpoints.forEach(
         (endpointId, tracked) -> {
@@ -262,30 +272,27 @@
         });
     for (List<String> kind : kinds.values()) {
       for (String endpointId : stragglers.stragglers(kind)) {
-        Tracked tracked = endpoints.get(endpointId);
-        if (ejectWithinBound(tracked, nowNanos)) {
-          stragglers.forget(endpointId);
-          observed(endpointId, EndpointState.STRAGGLING, nowNanos);
-        }
+        ejectWithinBound(endpointId, nowNanos);
       }
     }
   }
 
-  private boolean ejectWithinBound(Tracked tracked, long nowNanos) {
+  private void ejectWithinBound(String endpointId, long nowNanos) {
+    Tracked tracked = endpoints.get(endpointId);
+    String serviceId = tracked.serviceId;
     int total = 0;
-    int ejected = 0;
     for (Tracked other : endpoints.values()) {
-      if (other.serviceId.equals(tracked.serviceId)) {
-        total++;
-        ejected += other.health.status().state() == EndpointState.STRAGGLING ? 1 : 0;
-      }
+      total += other.serviceId.equals(serviceId) ? 1 : 0;
     }
-    if (ejected >= StragglerDetector.maxEjected(total)) {
-      return false;
+    boolean full = ejections.count(serviceId) >= StragglerDetector.maxEjected(total);
+    if (full || ejections.contains(endpointId)) {
+      return;
     }
+    LOG.infof("endpoint.ejected service=%s endpoint=%s", serviceId, endpointId);
+    ejections.eject(endpointId, serviceId, nowNanos);
+    stragglers.forget(endpointId);
     tracked.health.eject(nowNanos);
-    changed.add(tracked.declaration.id());
-    return true;
+    observed(endpointId, EndpointState.STRAGGLING, nowNanos);
   }
 
   private void publish(long nowNanos) {
@@ -329,6 +336,7 @@
   private void announce(String endpointId, EndpointStatus status, long nowNanos) {
     Optional<ShardOwner> owner = ownerOf(endpointId);
     if (owner.isPresent() && owner.get().instanceId().equals(selfId)) {
+      ejections.onOwnerState(endpointId, status.state());
       long fencingNumber = owner.get().fencingNumber();
       outbox.broadcast(
           new EndpointStateNotice(
--- a/buckthornferry/src/main/java/org/buckthornferry/endpoint/Isolation.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/endpoint/Isolation.java
@@ -10,6 +10,9 @@
   /** How long a peer keeps away from the endpoint after each notice. */
   static final long VALID_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+  /** An answer counts for less than the peer keeps away, because it travelled for a while. */
+  private static final long ACK_NANOS = TimeUnit.SECONDS.toNanos(8);
+
   private static final long RENEW_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   final String endpointId;
@@ -43,7 +46,7 @@
   boolean isComplete(Set<String> peers, long nowNanos) {
     for (String peer : peers) {
       Long atNanos = idlePeers.get(peer);
-      if (atNanos == null || nowNanos - atNanos >= VALID_NANOS) {
+      if (atNanos == null || nowNanos - atNanos >= ACK_NANOS) {
         return false;
       }
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/endpoint/Quarantine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/endpoint/Quarantine.java
@@ -1,5 +1,6 @@
 package org.buckthornferry.endpoint;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -103,7 +104,11 @@
               && requests.size() == 1
               && ranAlone(contentHash, endpointId, nowNanos);
       put(contentHash, blamed ? Verdict.QUARANTINED : Verdict.SUSPECT, validNanos, nowNanos);
-      LOG.warnf("quarantine.marked hash=%s endpoint=%s blamed=%s", contentHash, endpointId, blamed);
+      if (blamed) {
+        LOG.warnf("quarantine.marked hash=%s endpoint=%s", contentHash, endpointId);
+      } else {
+        LOG.debugf("quarantine.suspected hash=%s endpoint=%s", contentHash, endpointId);
+      }
       Kind kind = blamed ? Kind.QUARANTINED : Kind.SUSPECT;
       broadcast(kind, contentHash, TimeUnit.NANOSECONDS.toMillis(validNanos), nowNanos);
       endIsolation(contentHash, nowNanos);
@@ -177,10 +182,14 @@
           put(notice.contentHash(), Verdict.SUSPECT, noticeNanos, nowNanos);
         }
       }
-      case QUARANTINED -> put(notice.contentHash(), Verdict.QUARANTINED, noticeNanos, nowNanos);
+      case QUARANTINED -> {
+        put(notice.contentHash(), Verdict.QUARANTINED, noticeNanos, nowNanos);
+        endUnusedIsolation(notice.contentHash(), nowNanos);
+      }
       case CLEARED -> {
         if (verdict(notice.contentHash(), nowNanos) == Verdict.SUSPECT) {
           hashes.remove(notice.contentHash());
+          endUnusedIsolation(notice.contentHash(), nowNanos);
         }
       }
       case ISOLATE -> onIsolate(fromInstanceId, notice, nowNanos);
@@ -223,17 +232,17 @@
         && isolation.isComplete(peers(), nowNanos);
   }
 
-  /** Answers an isolation; the endpoint of this instance's own isolation is not given away. */
+  /**
+   * Answers an isolation. When two instances want the same endpoint, the one with the greater id
+   * gives way, unless all others have confirmed its isolation already.
+   */
   private void onIsolate(String from, QuarantineNotice notice, long nowNanos) {
-    boolean own =
-        isolations.values().stream()
-            .anyMatch(isolation -> isolation.endpointId.equals(notice.endpointId()));
     Reserved other = reservedByPeers.get(notice.endpointId());
     boolean taken =
         other != null && !other.instanceId.equals(from) && other.untilNanos - nowNanos > 0;
     boolean stale =
         other != null && other.instanceId.equals(from) && other.session > notice.session();
-    if (taken || stale || (own && selfId.compareTo(from) < 0)) {
+    if (taken || stale || !givesWay(from, notice.endpointId(), nowNanos)) {
       return;
     }
     reservedByPeers.put(
@@ -251,6 +260,26 @@
             notice.session()));
   }
 
+  private void endUnusedIsolation(String contentHash, long nowNanos) {
+    Isolation isolation = isolations.get(contentHash);
+    if (isolation != null
+        && !running.getOrDefault(isolation.endpointId, Map.of()).containsValue(contentHash)) {
+      endIsolation(contentHash, nowNanos);
+    }
+  }
+
+  private boolean givesWay(String from, String endpointId, long nowNanos) {
+    for (Map.Entry<String, Isolation> own : new ArrayList<>(isolations.entrySet())) {
+      if (own.getValue().endpointId.equals(endpointId)) {
+        if (selfId.compareTo(from) < 0 || own.getValue().isComplete(peers(), nowNanos)) {
+          return false;
+        }
+        endIsolation(own.getKey(), nowNanos);
+      }
+    }
+    return true;
+  }
+
   private void renewIsolations(long nowNanos) {
     long validMillis = TimeUnit.NANOSECONDS.toMillis(Isolation.VALID_NANOS);
     isolations.forEach(
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/endpoint/FakeRegion.java
@@ -0,0 +1,79 @@
+package org.buckthornferry.endpoint;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.control.Controller;
+import org.buckthornferry.membership.Member;
+import org.buckthornferry.membership.MemberState;
+import org.buckthornferry.membership.MembershipView;
+import org.buckthornferry.peer.PeerMessage;
+import org.buckthornferry.peer.PeerSender;
+
+/** Instances of one region with a network that may lose, double and reorder messages. */
+final class FakeRegion {
+  private final SplittableRandom random;
+  private final double loss;
+  private final List<Flight> flights = new ArrayList<>();
+  private final Map<String, Blackboard> blackboards = new TreeMap<>();
+  private final Map<String, Controller> controllers = new HashMap<>();
+
+  private record Flight(String from, String to, PeerMessage message) {}
+
+  FakeRegion(int instances, double loss, long seed) {
+    this.random = new SplittableRandom(seed);
+    this.loss = loss;
+    Map<String, Member> members = new TreeMap<>();
+    for (int i = 0; i < instances; i++) {
+      String id = "i" + i;
+      blackboards.put(id, new Blackboard());
+      members.put(
+          id, new Member(id, "127.0.0.1:1", "kol-a", "kol", 1, 0, MemberState.ALIVE, true, 0));
+    }
+    blackboards.forEach(
+        (id, blackboard) ->
+            blackboard
+                .writerOf(MembershipView.ENTRY)
+                .accept(new MembershipView(id, members, Set.of())));
+  }
+
+  Set<String> ids() {
+    return blackboards.keySet();
+  }
+
+  Blackboard blackboard(String id) {
+    return blackboards.get(id);
+  }
+
+  PeerSender senderOf(String id) {
+    return (to, message) -> {
+      for (int copy = 0; copy < 2; copy++) {
+        if ((copy == 0 || random.nextInt(10) == 0) && random.nextDouble() >= loss) {
+          flights.add(new Flight(id, to, message));
+        }
+      }
+    };
+  }
+
+  void add(String id, Controller controller) {
+    controllers.put(id, controller);
+  }
+
+  /** Delivers about half of the messages in random order and ticks every controller. */
+  void step(long nowNanos) {
+    List<Flight> now = new ArrayList<>();
+    for (int i = flights.size(); i > 0; i--) {
+      Flight flight = flights.remove(random.nextInt(flights.size()));
+      (random.nextBoolean() ? now : flights).add(flight);
+    }
+    for (Flight flight : now) {
+      controllers.get(flight.to()).onMessage(flight.from(), flight.message(), nowNanos);
+    }
+    controllers.values().forEach(controller -> controller.onTick(nowNanos));
+  }
+}
--- a/standins/src/main/java/org/buckthornferry/measure/BaselinePolicy.java
+++ b/standins/src/main/java/org/buckthornferry/measure/BaselinePolicy.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import org.buckthornferry.config.ConfigSnapshot;
+import org.buckthornferry.routing.ConcurrencyLimits;
 import org.buckthornferry.routing.RequestOutcome;
 
 /** Known simple schedulers. They skip drained failure domains and never refuse. */
@@ -27,7 +28,7 @@
   private final List<Map<String, Integer>> outstanding = new ArrayList<>();
   private final List<Map<String, ArrayDeque<Work>>> queues = new ArrayList<>();
   private final Map<String, Place> places = new HashMap<>();
-  private final SharedLedger ledger;
+  private final ConcurrencyLimits ledger;
   private final SplittableRandom random;
   private final BiConsumer<Work, String> dispatch;
   private ConfigSnapshot config;
@@ -36,11 +37,7 @@
   private record Place(int instance, String endpointId) {}
 
   BaselinePolicy(
-      Kind kind,
-      Scenario scenario,
-      int instances,
-      long seed,
-      BiConsumer<Work, String> dispatch) {
+      Kind kind, Scenario scenario, int instances, long seed, BiConsumer<Work, String> dispatch) {
     this.kind = kind;
     this.dispatch = dispatch;
     this.random = new SplittableRandom(seed);
@@ -52,7 +49,7 @@
       String service = id.substring(0, id.lastIndexOf('-'));
       engines.computeIfAbsent(service, key -> new ArrayList<>()).add(engine);
     }
-    this.ledger = new SharedLedger(id -> limits.getOrDefault(id, 0));
+    this.ledger = new SharedLedger(1, id -> limits.getOrDefault(id, 0)).limitsOf(0);
     for (int i = 0; i < instances; i++) {
       outstanding.add(new HashMap<>());
       queues.add(new HashMap<>());
--- a/standins/src/main/java/org/buckthornferry/measure/LibraryPolicy.java
+++ b/standins/src/main/java/org/buckthornferry/measure/LibraryPolicy.java
@@ -26,7 +26,6 @@
 import org.buckthornferry.membership.MembershipView;
 import org.buckthornferry.peer.PeerMessage;
 import org.buckthornferry.routing.Collaborators;
-import org.buckthornferry.routing.DemandListener;
 import org.buckthornferry.routing.Dispatcher;
 import org.buckthornferry.routing.PendingRequest;
 import org.buckthornferry.routing.RequestOutcome;
@@ -58,7 +57,8 @@
     final RoutingController routing;
     final List<Controller> controllers;
 
-    Node(String id, MembershipView view, SharedLedger ledger) {
+    Node(int index, MembershipView view, SharedLedger ledger) {
+      String id = "entry-" + index;
       blackboard.writerOf(MembershipView.ENTRY).accept(view);
       blackboard.writerOf(ShardMap.ENTRY).accept(shards);
       config = blackboard.writerOf(ConfigSnapshot.ENTRY);
@@ -77,11 +77,11 @@
                   quarantine,
                   new CostEstimator(),
                   new PrefixIndex(50_000),
-                  ledger,
+                  ledger.limitsOf(index),
                   VersionGate.OPEN,
                   (request, nowNanos) -> handOver(this, request),
                   this,
-                  DemandListener.NONE));
+                  ledger.demandOf(index)));
       controllers = List.of(shed, health, quarantine, routing);
     }
 
@@ -118,9 +118,9 @@
       owners.put(shard, new ShardOwner("entry-" + shard % instances, 1, 1));
     }
     shards = new ShardMap(SHARDS, Map.of(ShardKind.ENDPOINT, owners));
-    SharedLedger ledger = new SharedLedger(this::budget);
+    SharedLedger ledger = new SharedLedger(instances, this::budget);
     for (int i = 0; i < instances; i++) {
-      nodes.add(new Node("entry-" + i, view("entry-" + i, instances), ledger));
+      nodes.add(new Node(i, view("entry-" + i, instances), ledger));
     }
     configure(new ConfigSnapshot(1, "first", scenario.declarations()));
   }
@@ -221,8 +221,7 @@
     for (int i = 0; i < instances; i++) {
       String id = "entry-" + i;
       members.put(
-          id,
-          new Member(id, "127.0.0.1:1", "a", "region", 1, 0, MemberState.ALIVE, true, 0));
+          id, new Member(id, "127.0.0.1:1", "a", "region", 1, 0, MemberState.ALIVE, true, 0));
     }
     return new MembershipView(selfId, members, Set.of());
   }
--- a/standins/src/main/java/org/buckthornferry/measure/Result.java
+++ b/standins/src/main/java/org/buckthornferry/measure/Result.java
@@ -13,14 +13,14 @@
   final Map<Tier, Integer> late = new EnumMap<>(Tier.class);
   final Map<ErrorKind, Integer> refusals = new TreeMap<>();
   final Map<String, Integer> failures = new TreeMap<>();
-  final Map<String, double[]> offeredTokens = new TreeMap<>();
-  double goodTokens;
+  final double[] offeredSeconds = new double[3];
+  double goodSeconds;
   long wastedPrefillTokens;
   long prefillTokens;
   int coldExcess;
   int coldViolations;
   int dispatchesAfterDrain;
-  double boundTokens;
+  double boundSeconds;
 
   double goodput(Tier tier) {
     return (double) good.getOrDefault(tier, 0) / Math.max(1, offered.getOrDefault(tier, 0));
@@ -31,28 +31,25 @@
   }
 
   double boundShare() {
-    return goodTokens / Math.max(1, boundTokens);
+    return goodSeconds / Math.max(1, boundSeconds);
   }
 
-  void offer(Work work) {
+  void offer(Work work, double placeSeconds) {
     Tier tier = work.request().tier();
     offered.merge(tier, 1, Integer::sum);
-    offeredTokens
-            .computeIfAbsent(work.request().serviceId(), id -> new double[Tier.values().length])[
-            index(tier)] +=
-        work.costTokens();
+    offeredSeconds[index(tier)] += placeSeconds;
   }
 
-  void finish(Work work, boolean inTime) {
+  void finish(Work work, double placeSeconds, boolean inTime) {
     if (inTime) {
       good.merge(work.request().tier(), 1, Integer::sum);
-      goodTokens += work.costTokens();
+      goodSeconds += placeSeconds;
     } else {
       late.merge(work.request().tier(), 1, Integer::sum);
     }
   }
 
-  static int index(Tier tier) {
+  private static int index(Tier tier) {
     return switch (tier) {
       case CRITICAL -> 0;
       case STANDARD -> 1;
--- a/standins/src/main/java/org/buckthornferry/measure/Scenario.java
+++ b/standins/src/main/java/org/buckthornferry/measure/Scenario.java
@@ -15,10 +15,7 @@
 
 /** A deployment of section 1.1 of the design page with the true speeds and the mix of its load. */
 record Scenario(
-    String name,
-    Declarations declarations,
-    List<EngineSpec> engines,
-    List<RouteLoad> routes) {
+    String name, Declarations declarations, List<EngineSpec> engines, List<RouteLoad> routes) {
   private static final int MODEL_CONCURRENT = 12;
   private static final int PLAIN_CONCURRENT = 8;
   private static final String HASH = "0".repeat(64);
@@ -61,13 +58,11 @@
       EndpointDeclaration declaration =
           endpoint(model, i, domains, old ? "gen1" : "gen2", MODEL_CONCURRENT, 2);
       modelEndpoints.add(declaration);
-      engines.add(
-          new EngineSpec(declaration, old ? 4_800 : 8_000, old ? 54 : 90, 0.07));
+      engines.add(new EngineSpec(declaration, old ? 4_800 : 8_000, old ? 54 : 90, 0.07));
     }
     List<EndpointDeclaration> plainEndpoints = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
-      EndpointDeclaration declaration =
-          endpoint(plain, i, domains, "gen2", PLAIN_CONCURRENT, 2);
+      EndpointDeclaration declaration = endpoint(plain, i, domains, "gen2", PLAIN_CONCURRENT, 2);
       plainEndpoints.add(declaration);
       engines.add(new EngineSpec(declaration, 1_000, 20, 0));
     }
@@ -142,6 +137,35 @@
     return perSecond;
   }
 
+  /**
+   * Returns the places of a service at full batch, each engine weighted by its speed relative to
+   * the first one.
+   */
+  double places(String serviceId) {
+    double places = 0;
+    for (EngineSpec engine : engines) {
+      if (engine.declaration().id().startsWith(serviceId + "-")) {
+        double relative =
+            engine.decodeTokensPerSecond() / firstOf(serviceId).decodeTokensPerSecond();
+        places += engine.declaration().maxConcurrent() * relative;
+      }
+    }
+    return places;
+  }
+
+  /** Returns the seconds for which a request occupies a place of the first engine. */
+  double placeSeconds(Work work) {
+    return firstOf(work.request().serviceId())
+        .placeSeconds((double) work.request().promptTokens(), (double) work.decodeTokens());
+  }
+
+  private EngineSpec firstOf(String serviceId) {
+    return engines.stream()
+        .filter(engine -> engine.declaration().id().startsWith(serviceId + "-"))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Returns the part of a route in the requests of its service. */
   double countShare(RouteLoad load) {
     double total = 0;
--- a/standins/src/main/java/org/buckthornferry/measure/SchedulingMeasurement.java
+++ b/standins/src/main/java/org/buckthornferry/measure/SchedulingMeasurement.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.buckthornferry.admission.Tier;
 
 /**
@@ -23,7 +25,9 @@
   @Parameter(names = "--load", description = "Load relative to capacity; 0 for every level")
   private double load;
 
-  @Parameter(names = "--fault", description = "none, single, pairs, all, or names such as CRASH,COLD")
+  @Parameter(
+      names = "--fault",
+      description = "none, single, pairs, all, or names such as CRASH,COLD")
   private String fault = "all";
 
   @Parameter(names = "--fault-load", description = "Load relative to capacity under faults")
@@ -53,6 +57,7 @@
       commander.usage();
       return;
     }
+    Logger.getLogger("org.buckthornferry").setLevel(Level.OFF);
     measurement.run();
   }
 
@@ -62,9 +67,20 @@
             + " tier first");
     System.out.printf(
         Locale.ROOT,
-        "%-9s %-20s %4s %-16s %8s %8s %8s %6s %7s %5s %5s %5s  %s%n",
-        "deploy", "scheduler", "load", "faults", "critical", "standard", "bulk", "bound",
-        "wasted", "cold", "over", "drain", "refusals and failures");
+        "%-9s %-18s %4s %-15s %8s %8s %8s %6s %7s %5s %5s %5s  %s%n",
+        "service",
+        "scheduler",
+        "load",
+        "faults",
+        "critical",
+        "standard",
+        "bulk",
+        "bound",
+        "wasted",
+        "cold",
+        "over",
+        "drain",
+        "refusals and failures");
     cases().parallelStream().map(this::line).forEachOrdered(System.out::print);
   }
 
@@ -115,19 +131,22 @@
   private String line(Case measured) {
     Simulation simulation =
         new Simulation(
-            Scenario.named(measured.deployment),
-            measured.load,
-            measured.faults,
-            seconds,
-            seed);
-    Result result = simulation.run(measured.baseline);
+            Scenario.named(measured.deployment), measured.load, measured.faults, seconds, seed);
+    StringBuilder lines = new StringBuilder();
+    simulation
+        .run(measured.baseline)
+        .forEach((serviceId, result) -> lines.append(line(measured, serviceId, result)));
+    return lines.toString();
+  }
+
+  private static String line(Case measured, String serviceId, Result result) {
     String scheduler = measured.baseline == null ? "buckthornferry" : measured.baseline.name();
     StringBuilder names = new StringBuilder();
     measured.faults.forEach(name -> names.append(names.isEmpty() ? "" : "+").append(name));
     return String.format(
         Locale.ROOT,
-        "%-9s %-20s %4.1f %-16s %7.2f%% %7.2f%% %7.2f%% %5.1f%% %6.2f%% %5d %5d %5d  %s %s late=%s%n",
-        measured.deployment,
+        "%-9s %-18s %4.1f %-15s %7.2f%% %7.2f%% %7.2f%% %5.1f%% %6.2f%% %5d %5d %5d  %s %s late=%s%n",
+        serviceId,
         scheduler.toLowerCase(Locale.ROOT),
         measured.load,
         names.isEmpty() ? "-" : names,
--- a/standins/src/main/java/org/buckthornferry/measure/Simulation.java
+++ b/standins/src/main/java/org/buckthornferry/measure/Simulation.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import org.buckthornferry.admission.Tier;
 import org.buckthornferry.config.ConfigSnapshot;
 import org.buckthornferry.config.CustomerDeclaration;
@@ -40,14 +41,13 @@
   private final VirtualTime time = new VirtualTime();
   private final Map<String, FakeEngine> engines = new HashMap<>();
   private final Map<String, String> dispatched = new HashMap<>();
-  private final Result result = new Result();
+  private final Map<String, Result> results = new TreeMap<>();
   private final long arrivalEndNanos;
   private Policy policy;
   private ConfigSnapshot config;
   private long sequence;
 
-  Simulation(
-      Scenario scenario, double loadFactor, Set<Fault> faults, long seconds, long seed) {
+  Simulation(Scenario scenario, double loadFactor, Set<Fault> faults, long seconds, long seed) {
     this.scenario = scenario;
     this.loadFactor = loadFactor;
     this.faults = faults;
@@ -60,7 +60,7 @@
   }
 
   /** Runs the library, or a baseline when one is named. */
-  Result run(BaselinePolicy.Kind baseline) {
+  Map<String, Result> run(BaselinePolicy.Kind baseline) {
     long policySeed = random.nextLong();
     policy =
         baseline == null
@@ -76,10 +76,22 @@
     }
     time.runUntil(arrivalEndNanos + 450 * SECOND);
     for (FakeEngine engine : engines.values()) {
-      result.prefillTokens += engine.computedPrefillTokens();
+      resultOf(serviceOf(engine.id())).prefillTokens += engine.computedPrefillTokens();
     }
-    computeBound();
-    return result;
+    results.forEach(this::computeBound);
+    return results;
+  }
+
+  private Result resultOf(String serviceId) {
+    return results.computeIfAbsent(serviceId, id -> new Result());
+  }
+
+  private Result resultOf(Work work) {
+    return resultOf(work.request().serviceId());
+  }
+
+  private static String serviceOf(String endpointId) {
+    return endpointId.substring(0, endpointId.lastIndexOf('-'));
   }
 
   private void tick() {
@@ -107,9 +119,7 @@
         () -> {
           submit(newWork(load, source, customer(source), false));
           double perSecond =
-              loadFactor
-                  * scenario.capacityPerSecond(load.serviceId())
-                  * scenario.countShare(load);
+              loadFactor * scenario.capacityPerSecond(load.serviceId()) * scenario.countShare(load);
           double gapSeconds = -Math.log(1 - source.nextDouble()) / perSecond;
           arrive(load, source, atNanos + 1 + (long) (gapSeconds * SECOND));
         });
@@ -162,7 +172,7 @@
 
   private void submit(Work work) {
     if (isMeasured(work)) {
-      result.offer(work);
+      resultOf(work).offer(work, scenario.placeSeconds(work));
     }
     policy.submit(random.nextInt(INSTANCES), work);
   }
@@ -180,7 +190,7 @@
             && engine.spec.declaration().failureDomain().equals(drainedDomain())
             && now >= FAULT_NANOS + DRAIN_GRACE_NANOS
             && now < RETURN_NANOS;
-    result.dispatchesAfterDrain += drained ? 1 : 0;
+    resultOf(work).dispatchesAfterDrain += drained ? 1 : 0;
     time.at(
         now + 500_000,
         () -> {
@@ -194,13 +204,14 @@
   private void countCold(FakeEngine engine) {
     int bound = engine.spec.declaration().coldConcurrent();
     int started = (int) engine.startedInColdStart(COLD_GRACE_NANOS);
+    Result result = resultOf(serviceOf(engine.id()));
     result.coldExcess = Math.max(result.coldExcess, started);
     result.coldViolations += started > bound ? 1 : 0;
   }
 
   private void refused(Work work, ErrorKind kind) {
     if (isMeasured(work)) {
-      result.refusals.merge(kind, 1, Integer::sum);
+      resultOf(work).refusals.merge(kind, 1, Integer::sum);
     }
   }
 
@@ -212,13 +223,13 @@
     boolean success = outcome.kind() == RequestOutcome.Kind.SUCCEEDED;
     boolean inTime = time.nowNanos() <= work.request().deadlineNanos();
     if (success && isMeasured(work)) {
-      result.finish(work, inTime);
+      resultOf(work).finish(work, scenario.placeSeconds(work), inTime);
     }
     if (!success && isMeasured(work)) {
-      result.failures.merge(outcome.kind().name(), 1, Integer::sum);
+      resultOf(work).failures.merge(outcome.kind().name(), 1, Integer::sum);
     }
     boolean useless = !success || (!inTime && work.request().tier() != Tier.CRITICAL);
-    result.wastedPrefillTokens += useless ? outcome.computedPrefillTokens() : 0;
+    resultOf(work).wastedPrefillTokens += useless ? outcome.computedPrefillTokens() : 0;
     policy.completed(work, outcome);
   }
 
@@ -233,8 +244,7 @@
   private void scheduleFaults() {
     for (Fault fault : faults) {
       switch (fault) {
-        case CRASH ->
-            time.at(FAULT_NANOS, () -> modelEngine(1).crash(20 * SECOND, 20 * SECOND));
+        case CRASH -> time.at(FAULT_NANOS, () -> modelEngine(1).crash(20 * SECOND, 20 * SECOND));
         case COLD -> time.at(FAULT_NANOS, () -> modelEngine(3).startCold(60 * SECOND));
         case STRAGGLER -> time.at(FAULT_NANOS, () -> modelEngine(4).setSpeed(0.25));
         case DRAIN -> {
@@ -266,8 +276,7 @@
   /** The smallest customer sends short questions at the whole capacity of the service. */
   private void flood(long atNanos) {
     Scenario.RouteLoad load = scenario.routes().get(1);
-    double perSecond =
-        2 * scenario.capacityPerSecond(load.serviceId()) * scenario.countShare(load);
+    double perSecond = 2 * scenario.capacityPerSecond(load.serviceId()) * scenario.countShare(load);
     if (atNanos < arrivalEndNanos) {
       time.at(
           atNanos,
@@ -295,21 +304,13 @@
    * The bound of a scheduler that knows every size and the future: each place of each engine is
    * always busy at the full batch's speed, and the highest tier is served first.
    */
-  private void computeBound() {
+  private void computeBound(String serviceId, Result result) {
     double seconds = (double) (arrivalEndNanos - WARM_UP_NANOS) / SECOND;
-    for (Map.Entry<String, double[]> entry : result.offeredTokens.entrySet()) {
-      double meanCost = 0;
-      for (Scenario.RouteLoad load : scenario.routes()) {
-        if (load.serviceId().equals(entry.getKey())) {
-          meanCost += scenario.countShare(load) * load.meanCostTokens();
-        }
-      }
-      double left = scenario.capacityPerSecond(entry.getKey()) * meanCost * seconds;
-      for (double tokens : entry.getValue()) {
-        double served = Math.min(left, tokens);
-        result.boundTokens += served;
-        left -= served;
-      }
+    double left = scenario.places(serviceId) * seconds;
+    for (double offered : result.offeredSeconds) {
+      double served = Math.min(left, offered);
+      result.boundSeconds += served;
+      left -= served;
     }
   }
 }
--- a/standins/src/main/java/org/buckthornferry/measure/Work.java
+++ b/standins/src/main/java/org/buckthornferry/measure/Work.java
@@ -12,9 +12,4 @@
   String id() {
     return request.requestId();
   }
-
-  double costTokens() {
-    return request.promptTokens()
-        + org.buckthornferry.endpoint.RouteCost.DECODE_WEIGHT * decodeTokens;
-  }
 }
