--- a/entry/src/main/java/org/buckthornferry/cli/Main.java
+++ b/entry/src/main/java/org/buckthornferry/cli/Main.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.ServiceLoader;
+import org.buckthornferry.config.ConfigException;
 
 /** The entry point of {@code bin/buckthornferry}. */
 public final class Main {
@@ -21,7 +22,16 @@
   private final Map<String, Command> commands = new LinkedHashMap<>();
 
   private Main() {
-    for (Command command : List.of(new EntryCommand(), new PublishCommand())) {
+    for (Command command :
+        List.of(
+            new EntryCommand(),
+            new CheckCommand(),
+            new PublishCommand(),
+            new StatusCommand(),
+            new DrainCommand(),
+            new ReturnCommand(),
+            new VersionsCommand(),
+            new DumpCommand())) {
       commands.put(command.name(), command);
     }
     for (Command command : ServiceLoader.load(Command.class)) {
@@ -61,6 +71,9 @@
   private static ExitCode runCommand(Command command) {
     try {
       return command.run();
+    } catch (ConfigException e) {
+      System.err.println(e.getMessage());
+      return ExitCode.INVALID;
     } catch (Exception e) {
       System.err.println(command.name() + ": " + e.getMessage());
       return ExitCode.FAILED;
--- a/standins/src/main/java/org/buckthornferry/measure/Scenario.java
+++ b/standins/src/main/java/org/buckthornferry/measure/Scenario.java
@@ -137,6 +137,35 @@
     return perSecond;
   }
 
+  /**
+   * Returns the places of a service at full batch, each engine weighted by its speed relative to
+   * the first one.
+   */
+  double places(String serviceId) {
+    double places = 0;
+    for (EngineSpec engine : engines) {
+      if (engine.declaration().id().startsWith(serviceId + "-")) {
+        double relative =
+            engine.decodeTokensPerSecond() / firstOf(serviceId).decodeTokensPerSecond();
+        places += engine.declaration().maxConcurrent() * relative;
+      }
+    }
+    return places;
+  }
+
+  /** Returns the seconds for which a request occupies a place of the first engine. */
+  double placeSeconds(Work work) {
+    return firstOf(work.request().serviceId())
+        .placeSeconds((double) work.request().promptTokens(), (double) work.decodeTokens());
+  }
+
+  private EngineSpec firstOf(String serviceId) {
+    return engines.stream()
+        .filter(engine -> engine.declaration().id().startsWith(serviceId + "-"))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Returns the part of a route in the requests of its service. */
   double countShare(RouteLoad load) {
     double total = 0;
--- a/standins/src/main/java/org/buckthornferry/measure/Simulation.java
+++ b/standins/src/main/java/org/buckthornferry/measure/Simulation.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import org.buckthornferry.admission.Tier;
 import org.buckthornferry.config.ConfigSnapshot;
 import org.buckthornferry.config.CustomerDeclaration;
@@ -40,7 +41,7 @@
   private final VirtualTime time = new VirtualTime();
   private final Map<String, FakeEngine> engines = new HashMap<>();
   private final Map<String, String> dispatched = new HashMap<>();
-  private final Result result = new Result();
+  private final Map<String, Result> results = new TreeMap<>();
   private final long arrivalEndNanos;
   private Policy policy;
   private ConfigSnapshot config;
@@ -59,7 +60,7 @@
   }
 
   /** Runs the library, or a baseline when one is named. */
-  Result run(BaselinePolicy.Kind baseline) {
+  Map<String, Result> run(BaselinePolicy.Kind baseline) {
     long policySeed = random.nextLong();
     policy =
         baseline == null
@@ -75,10 +76,22 @@
     }
     time.runUntil(arrivalEndNanos + 450 * SECOND);
     for (FakeEngine engine : engines.values()) {
-      result.prefillTokens += engine.computedPrefillTokens();
+      resultOf(serviceOf(engine.id())).prefillTokens += engine.computedPrefillTokens();
     }
-    computeBound();
-    return result;
+    results.forEach(this::computeBound);
+    return results;
+  }
+
+  private Result resultOf(String serviceId) {
+    return results.computeIfAbsent(serviceId, id -> new Result());
+  }
+
+  private Result resultOf(Work work) {
+    return resultOf(work.request().serviceId());
+  }
+
+  private static String serviceOf(String endpointId) {
+    return endpointId.substring(0, endpointId.lastIndexOf('-'));
   }
 
   private void tick() {
@@ -159,7 +172,7 @@
 
   private void submit(Work work) {
     if (isMeasured(work)) {
-      result.offer(work);
+      resultOf(work).offer(work, scenario.placeSeconds(work));
     }
     policy.submit(random.nextInt(INSTANCES), work);
   }
@@ -177,7 +190,7 @@
             && engine.spec.declaration().failureDomain().equals(drainedDomain())
             && now >= FAULT_NANOS + DRAIN_GRACE_NANOS
             && now < RETURN_NANOS;
-    result.dispatchesAfterDrain += drained ? 1 : 0;
+    resultOf(work).dispatchesAfterDrain += drained ? 1 : 0;
     time.at(
         now + 500_000,
         () -> {
@@ -191,13 +204,14 @@
   private void countCold(FakeEngine engine) {
     int bound = engine.spec.declaration().coldConcurrent();
     int started = (int) engine.startedInColdStart(COLD_GRACE_NANOS);
+    Result result = resultOf(serviceOf(engine.id()));
     result.coldExcess = Math.max(result.coldExcess, started);
     result.coldViolations += started > bound ? 1 : 0;
   }
 
   private void refused(Work work, ErrorKind kind) {
     if (isMeasured(work)) {
-      result.refusals.merge(kind, 1, Integer::sum);
+      resultOf(work).refusals.merge(kind, 1, Integer::sum);
     }
   }
 
@@ -209,13 +223,13 @@
     boolean success = outcome.kind() == RequestOutcome.Kind.SUCCEEDED;
     boolean inTime = time.nowNanos() <= work.request().deadlineNanos();
     if (success && isMeasured(work)) {
-      result.finish(work, inTime);
+      resultOf(work).finish(work, scenario.placeSeconds(work), inTime);
     }
     if (!success && isMeasured(work)) {
-      result.failures.merge(outcome.kind().name(), 1, Integer::sum);
+      resultOf(work).failures.merge(outcome.kind().name(), 1, Integer::sum);
     }
     boolean useless = !success || (!inTime && work.request().tier() != Tier.CRITICAL);
-    result.wastedPrefillTokens += useless ? outcome.computedPrefillTokens() : 0;
+    resultOf(work).wastedPrefillTokens += useless ? outcome.computedPrefillTokens() : 0;
     policy.completed(work, outcome);
   }
 
@@ -290,21 +304,13 @@
    * The bound of a scheduler that knows every size and the future: each place of each engine is
    * always busy at the full batch's speed, and the highest tier is served first.
    */
-  private void computeBound() {
+  private void computeBound(String serviceId, Result result) {
     double seconds = (double) (arrivalEndNanos - WARM_UP_NANOS) / SECOND;
-    for (Map.Entry<String, double[]> entry : result.offeredTokens.entrySet()) {
-      double meanCost = 0;
-      for (Scenario.RouteLoad load : scenario.routes()) {
-        if (load.serviceId().equals(entry.getKey())) {
-          meanCost += scenario.countShare(load) * load.meanCostTokens();
-        }
-      }
-      double left = scenario.capacityPerSecond(entry.getKey()) * meanCost * seconds;
-      for (double tokens : entry.getValue()) {
-        double served = Math.min(left, tokens);
-        result.boundTokens += served;
-        left -= served;
-      }
+    double left = scenario.places(serviceId) * seconds;
+    for (double offered : result.offeredSeconds) {
+      double served = Math.min(left, offered);
+      result.boundSeconds += served;
+      left -= served;
     }
   }
 }
