--- a/standins/src/main/java/org/buckthornferry/measure/package-info.java
+++ b/standins/src/main/java/org/buckthornferry/measure/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Measurements of the decision classes in virtual time, with small fakes of engines, services and
- * the network between instances, and benchmarks of single decisions.
+ * Measurements of the library with virtual time, small fakes and fixed seeds. Each main class
+ * prints one table of {@code docs/measurements.md}.
  */
 package org.buckthornferry.measure;
