--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/GrantHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/GrantHolder.java
@@ -38,7 +38,7 @@
    * @return whether the request may start; the caller must release it then
    */
   public boolean tryAcquire(String endpointId, Amounts cost, long nowNanos) {
-    HeldGrant grant = grantOf(endpointId, nowNanos);
+    HeldGrant grant = grantOf(endpointId);
     if (grant.tryAcquire(cost, nowNanos)) {
       return true;
     }
@@ -57,7 +57,7 @@
    * @throws IllegalStateException when less than {@code cost} runs
    */
   public void release(String endpointId, Amounts cost, long nowNanos) {
-    grantOf(endpointId, nowNanos).release(cost, nowNanos);
+    grantOf(endpointId).release(cost, nowNanos);
   }
 
   /** Returns how many further requests may start now, tokens aside. */
@@ -79,14 +79,14 @@
 
   /** Sets what this instance would start on an endpoint now in addition to what runs. */
   public void setDemand(String endpointId, Amounts waiting, long nowNanos) {
-    HeldGrant grant = grantOf(endpointId, nowNanos);
+    HeldGrant grant = grantOf(endpointId);
     grant.setWaiting(Checks.notNull(waiting, "waiting"));
     noteUrgent(endpointId, grant);
   }
 
   /** Notes that an endpoint turned cold or warm, learned from another message than a grant. */
   public void markCold(String endpointId, boolean cold, long nowNanos) {
-    grantOf(endpointId, nowNanos).markCold(cold);
+    grantOf(endpointId).markCold(cold);
   }
 
   /** Returns whether this instance runs on a fallback slice because no owner responds. */
@@ -95,10 +95,10 @@
     return grant != null && grant.usesSlice(nowNanos);
   }
 
-  HeldGrant grantOf(String endpointId, long nowNanos) {
+  HeldGrant grantOf(String endpointId) {
     HeldGrant grant = held.get(endpointId);
     if (grant == null) {
-      grant = new HeldGrant(endpointId, nowNanos);
+      grant = new HeldGrant(endpointId);
       held.put(endpointId, grant);
       heldByShard.computeIfAbsent(shards.shardOf(endpointId), s -> new ArrayList<>()).add(grant);
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/GrantLedger.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/GrantLedger.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.buckthornferry.peer.Amounts;
@@ -18,34 +20,31 @@
  * gives nothing more until the sum is below it. Pure state: the caller moves the messages.
  */
 public final class GrantLedger {
-  /** A sample is used this late, when the reports of the holders that cover its time are there. */
-  static final long SAMPLE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(650);
-
   /** The time a request may take from its start at the holder to the endpoint. */
   static final long DISPATCH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** The span that a low-water mark covers before its report, less 5% for drift and rounding. */
-  private static final long MARK_SPAN_NANOS = TimeUnit.MILLISECONDS.toNanos(950);
-
-  private static final int MAX_SAMPLES = 16;
+  /** How long answers to a probe are waited for. */
+  private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
   /**
    * So many samples in a row must show that requests have ended. One alone can be too low by the
    * requests whose end a holder has not yet heard of.
    */
-  private static final int SAMPLES_TO_RECLAIM = 5;
+  private static final int SAMPLES_TO_RECLAIM = 3;
 
   private final String endpointId;
   private final int shard;
   private final CapacitySettings settings;
   private final Map<HolderSession, LedgerHolder> holders = new LinkedHashMap<>();
-  private final ArrayDeque<LoadSample> samples = new ArrayDeque<>();
+  private final Map<HolderSession, Long> answers = new HashMap<>();
   private final ArrayDeque<LoadSample> evaluated = new ArrayDeque<>();
   private EndpointBudget budget;
   private Amounts transferred = Amounts.ZERO;
   private boolean settled;
   private long lastSampleNanos;
   private boolean sampled;
+  private LoadSample probed;
+  private long probeNanos;
   private boolean dirty;
   private HolderSession designated;
 
@@ -139,7 +138,7 @@
     LedgerHolder holder = holders.get(session);
     if (holder != null) {
       holder.report(
-          new HolderReport.Entry(endpointId, 0, Amounts.ZERO, Amounts.ZERO, 0, Amounts.ZERO));
+          new HolderReport.Entry(endpointId, 0, Amounts.ZERO, Amounts.ZERO, Amounts.ZERO));
       holder.acknowledge(session.appliedGrantId());
     }
   }
@@ -165,29 +164,67 @@
     dirty = true;
     if (orphans != null) {
       LedgerHolder holder = new LedgerHolder(orphans, this, nowNanos);
-      holder.transfer(budget.limit().minus(reserved()));
+      holder.transfer(budget.ceiling().minus(reserved()));
       holders.put(orphans, holder);
     }
   }
 
-  /** Queues a load sample until the reports that cover its time have arrived. */
-  void addSample(LoadSample sample) {
+  /**
+   * Takes a load sample. While a silent holder may have left requests at the endpoint, the other
+   * holders are asked what they ran when the sample was taken.
+   */
+  void addSample(LoadSample sample, long nowNanos) {
     if (sampled && sample.sampledNanos() - lastSampleNanos <= 0) {
       return;
     }
     sampled = true;
     lastSampleNanos = sample.sampledNanos();
-    samples.addLast(sample);
-    if (samples.size() > MAX_SAMPLES) {
-      samples.removeFirst();
+    if (probed != null || !hasSilentReserve(nowNanos)) {
+      return;
+    }
+    probed = sample;
+    probeNanos = nowNanos;
+    answers.clear();
+    for (LedgerHolder holder : holders.values()) {
+      if (holder.session().isTalking(settings, nowNanos)) {
+        holder.session().probes().add(this);
+        holder.session().wantPush();
+      }
+    }
+  }
+
+  /** Returns the age of the probed load sample, or empty when no probe is open. */
+  OptionalLong probeAgeNanos(long nowNanos) {
+    return probed == null
+        ? OptionalLong.empty()
+        : OptionalLong.of(nowNanos - probed.sampledNanos());
+  }
+
+  /** Takes the answer to the open probe if it came fast enough to fix the time it is about. */
+  void answered(HolderSession session, long lowWater, long nowNanos) {
+    OptionalLong sentNanos = session.appliedSentNanos();
+    if (probed != null
+        && sentNanos.isPresent()
+        && sentNanos.getAsLong() - probeNanos >= 0
+        && nowNanos - sentNanos.getAsLong() <= RunningHistory.MAX_ROUND_TRIP_NANOS) {
+      answers.put(session, lowWater);
     }
   }
 
+  private boolean hasSilentReserve(long nowNanos) {
+    for (LedgerHolder holder : holders.values()) {
+      if (!holder.session().isTalking(settings, nowNanos) && holder.reserved().concurrent() > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Frees what silent holders no longer run, by the load samples of the endpoint. */
   void reclaim(long nowNanos) {
-    while (!samples.isEmpty()
-        && nowNanos - samples.peekFirst().sampledNanos() >= SAMPLE_DELAY_NANOS) {
-      apply(samples.removeFirst());
+    if (probed != null && nowNanos - probeNanos >= PROBE_NANOS) {
+      apply(probed);
+      probed = null;
     }
     if (!sampled || nowNanos - lastSampleNanos > settings.fallbackValidNanos()) {
       dropWithoutSamples(nowNanos);
@@ -202,10 +239,8 @@
 
   private void apply(LoadSample sample) {
     long known = 0;
-    for (LedgerHolder holder : holders.values()) {
-      if (holder.session().isLowWaterValidAt(sample.sampledNanos(), MARK_SPAN_NANOS)) {
-        known += holder.lowWater();
-      }
+    for (long answer : answers.values()) {
+      known += answer;
     }
     long unknown = Math.max(0, sample.running() - known);
     evaluated.addLast(new LoadSample(unknown, sample.sampledNanos()));
--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/GrantOwner.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/GrantOwner.java
@@ -69,6 +69,13 @@
     }
     takeEntries(session, report, touched, nowNanos);
     takeShards(session, report, nowNanos);
+    for (HolderReport.Answer answer : report.answers()) {
+      Tenancy tenancy = tenancies.get(shardOf(answer.endpointId()));
+      GrantLedger ledger = tenancy == null ? null : tenancy.ledgers().get(answer.endpointId());
+      if (ledger != null) {
+        ledger.answered(session, answer.lowWater(), nowNanos);
+      }
+    }
     for (GrantLedger ledger : touched) {
       divideWhenDirty(ledger, nowNanos);
     }
@@ -101,6 +108,7 @@
   }
 
   private void sweep(Tenancy tenancy, MembershipView view, boolean provisional, long nowNanos) {
+    tenancy.swept(nowNanos);
     boolean settledNow = !provisional && tenancy.update(view, settings, nowNanos);
     for (GrantLedger ledger : tenancy.ledgers().values()) {
       if (settledNow) {
@@ -109,7 +117,7 @@
       ledger.setBudget(budgets.budgetOf(ledger.endpointId()).orElse(NO_BUDGET));
       // A provisional owner cannot tell a silent holder from one that reports to a new owner.
       if (!provisional) {
-        budgets.loadOf(ledger.endpointId()).ifPresent(ledger::addSample);
+        budgets.loadOf(ledger.endpointId()).ifPresent(sample -> ledger.addSample(sample, nowNanos));
         ledger.reclaim(nowNanos);
       }
       divideWhenDirty(ledger, nowNanos);
@@ -218,7 +226,7 @@
             (shard, fencing) -> {
               if (accepts(shard, fencing)
                   && ownership.ownsNow(ShardKind.ENDPOINT, shard, nowNanos)
-                  && tenancy(shard) != null) {
+                  && tenancy(shard).isFresh(nowNanos)) {
                 shards.add(new Grant.Shard(shard, fencing));
                 owned.put(shard, fencing);
               }
@@ -234,9 +242,16 @@
       holder.sentWith(grantId);
       entries.add(entry(holder, fencing));
     }
+    List<Grant.Probe> probes = new ArrayList<>();
+    for (GrantLedger ledger : session.probes()) {
+      ledger
+          .probeAgeNanos(nowNanos)
+          .ifPresent(age -> probes.add(new Grant.Probe(ledger.endpointId(), age)));
+    }
+    session.probes().clear();
     output.send(
         session.holderId(),
-        new Grant(incarnation, grantId, session.lastRequestId(), shards, entries),
+        new Grant(incarnation, grantId, session.lastRequestId(), shards, entries, probes),
         nowNanos);
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/HeldGrant.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/HeldGrant.java
@@ -1,14 +1,11 @@
 package org.buckthornferry.capacity;
 
-import java.util.concurrent.TimeUnit;
 import org.buckthornferry.peer.Amounts;
 import org.buckthornferry.peer.Grant;
 import org.buckthornferry.peer.HolderReport;
 
 /** The grant of one endpoint as its holder keeps it. */
 final class HeldGrant {
-  private static final long BUCKET_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private final String endpointId;
   private Coverage coverage;
   private long floorFencing;
@@ -19,15 +16,12 @@
   private Amounts running = Amounts.ZERO;
   private Amounts waiting = Amounts.ZERO;
   private Amounts refused = Amounts.ZERO;
-  private long bucketNanos;
-  private long bucketLow;
-  private long previousLow;
+  private final RunningHistory history = new RunningHistory();
   private HolderReport.Entry sent;
   private long sentRequestId;
 
-  HeldGrant(String endpointId, long nowNanos) {
+  HeldGrant(String endpointId) {
     this.endpointId = endpointId;
-    this.bucketNanos = nowNanos;
   }
 
   String endpointId() {
@@ -71,8 +65,8 @@
       refused = refused.max(cost);
       return false;
     }
-    rotate(nowNanos);
     running = wanted;
+    history.record(running.concurrent(), nowNanos);
     return true;
   }
 
@@ -80,9 +74,8 @@
     if (!cost.fits(running)) {
       throw new IllegalStateException("released more than runs at " + endpointId);
     }
-    rotate(nowNanos);
     running = running.minus(cost);
-    bucketLow = Math.min(bucketLow, running.concurrent());
+    history.record(running.concurrent(), nowNanos);
   }
 
   void setWaiting(Amounts newWaiting) {
@@ -109,7 +102,7 @@
     if (entry.fencingNumber() < floorFencing || entry.fencingNumber() != source.fencingNumber()) {
       return false;
     }
-    boolean smaller = !grant.fits(entry.grant()) || !slice.fits(entry.slice());
+    final boolean smaller = !grant.fits(entry.grant()) || !slice.fits(entry.slice());
     coverage = source;
     floorFencing = entry.fencingNumber();
     grant = entry.grant();
@@ -127,7 +120,6 @@
   HolderReport.Entry report(Coverage to, long requestId, long ackedRequestId, long nowNanos) {
     // Grants of an earlier owner that are still on the way must not add to what is reported.
     floorFencing = Math.max(floorFencing, to.fencingNumber());
-    rotate(nowNanos);
     HolderReport.Entry current = entry(nowNanos);
     boolean active = isActive();
     refused = Amounts.ZERO;
@@ -159,10 +151,7 @@
   private boolean isWorthSending(HolderReport.Entry current) {
     boolean runningMatters =
         !running.equals(sent.running()) && (!running.fits(grant) || !sent.running().fits(grant));
-    boolean lowWaterMatters =
-        current.lowWater() < sent.lowWater() || current.lowWater() > 2 * sent.lowWater() + 1;
     return runningMatters
-        || lowWaterMatters
         || demandMatters(current.demand(), sent.demand())
         || demandMatters(sent.demand(), current.demand());
   }
@@ -183,8 +172,7 @@
     // The slice counts even where a cold endpoint forbids its use, because that may change.
     boolean sliceCounts = coverage != null && coverage.isSliceValid(nowNanos);
     Amounts held = usable(nowNanos).max(sliceCounts ? slice : Amounts.ZERO);
-    long lowWater = Math.min(bucketLow, previousLow);
-    return new HolderReport.Entry(endpointId, fencing, held, running, lowWater, demand());
+    return new HolderReport.Entry(endpointId, fencing, held, running, demand());
   }
 
   private Amounts usableSlice(long nowNanos) {
@@ -196,11 +184,8 @@
     return running.plus(waiting.max(refused));
   }
 
-  private void rotate(long nowNanos) {
-    if (nowNanos - bucketNanos >= BUCKET_NANOS) {
-      previousLow = bucketLow;
-      bucketLow = running.concurrent();
-      bucketNanos = nowNanos;
-    }
+  /** Returns the least number of requests that ran around the probed time. */
+  long answer(long ageNanos, long nowNanos) {
+    return history.lowWater(ageNanos, running.concurrent(), nowNanos);
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/HolderSession.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/HolderSession.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.buckthornferry.peer.HolderReport;
 
@@ -14,6 +15,7 @@
   private final long incarnation;
   private final Map<Integer, Long> fencingByShard = new HashMap<>();
   private final Set<LedgerHolder> unacknowledged = new LinkedHashSet<>();
+  private final Set<GrantLedger> probes = new LinkedHashSet<>();
   private final long[] sendNanos = new long[SEND_TIMES];
   private long lastRequestId;
   private long lastGrantId;
@@ -123,16 +125,15 @@
     return nanos - startNanos >= CapacitySettings.ownerNanos(settings.fallbackValidNanos());
   }
 
-  /**
-   * Returns whether the low-water mark of the last report holds at {@code nanos}. The mark covers
-   * one second before the report was sent; that was before its arrival and after the send of the
-   * grant that it acknowledges.
-   */
-  boolean isLowWaterValidAt(long nanos, long markSpanNanos) {
-    if (ended || lastGrantId - appliedGrantId >= SEND_TIMES || appliedGrantId == 0) {
-      return false;
-    }
-    long sentAfterNanos = sendNanos[(int) (appliedGrantId % SEND_TIMES)];
-    return nanos - sentAfterNanos <= 0 && lastReportNanos - nanos <= markSpanNanos;
+  /** Returns when the newest acknowledged grant was sent, or empty when that is too long ago. */
+  OptionalLong appliedSentNanos() {
+    return appliedGrantId == 0 || lastGrantId - appliedGrantId >= SEND_TIMES
+        ? OptionalLong.empty()
+        : OptionalLong.of(sendNanos[(int) (appliedGrantId % SEND_TIMES)]);
+  }
+
+  /** Returns the ledgers whose probes go into the next message. */
+  Set<GrantLedger> probes() {
+    return probes;
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/LedgerHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/LedgerHolder.java
@@ -16,7 +16,6 @@
   private Amounts running = Amounts.ZERO;
   private Amounts demand = Amounts.ZERO;
   private double smoothedDemand;
-  private long lowWater;
   private long withoutSinceNanos;
 
   /** A part that the holder may use from when it arrives until a newer one is acknowledged. */
@@ -61,10 +60,6 @@
     return smoothedDemand + 0.01;
   }
 
-  long lowWater() {
-    return lowWater;
-  }
-
   long withoutSinceNanos() {
     return withoutSinceNanos;
   }
@@ -93,7 +88,6 @@
 
   void report(HolderReport.Entry entry) {
     running = entry.running();
-    lowWater = entry.lowWater();
     demand = entry.demand();
     smoothedDemand += SMOOTHING * (demand.concurrent() - smoothedDemand);
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/OwnerLink.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/OwnerLink.java
@@ -21,6 +21,7 @@
   private final CapacitySettings settings;
   private final Map<Integer, Coverage> coverages = new HashMap<>();
   private final ArrayDeque<SentReport> sentReports = new ArrayDeque<>();
+  private final List<HolderReport.Answer> answers = new ArrayList<>();
   private long appliedGrantId;
   private long ackedRequestId;
   private long lastSentNanos;
@@ -116,7 +117,7 @@
     sentBefore = true;
     reportWanted = false;
     return new HolderReport(
-        incarnation, requestId, ownerIncarnation, appliedGrantId, shards, entries);
+        incarnation, requestId, ownerIncarnation, appliedGrantId, shards, entries, takeAnswers());
   }
 
   /** Applies a grant and returns whether it must be acknowledged at once. */
@@ -141,10 +142,20 @@
     for (Grant.Entry entry : grant.entries()) {
       Coverage coverage = coverages.get(holder.shardOf(entry.endpointId()));
       if (coverage != null) {
-        smaller |= holder.grantOf(entry.endpointId(), nowNanos).apply(entry, coverage);
+        smaller |= holder.grantOf(entry.endpointId()).apply(entry, coverage);
       }
     }
-    return smaller;
+    for (Grant.Probe probe : grant.probes()) {
+      long lowWater = holder.grantOf(probe.endpointId()).answer(probe.ageNanos(), nowNanos);
+      answers.add(new HolderReport.Answer(probe.endpointId(), lowWater));
+    }
+    return smaller || !answers.isEmpty();
+  }
+
+  private List<HolderReport.Answer> takeAnswers() {
+    List<HolderReport.Answer> taken = List.copyOf(answers);
+    answers.clear();
+    return taken;
   }
 
   private SentReport sentReport(long requestId) {
--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/Tenancy.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/Tenancy.java
@@ -12,10 +12,15 @@
 
 /** The ledgers of one shard over an unbroken ownership. */
 final class Tenancy {
+  /** Two times the period in which ledgers are looked at. */
+  private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private final Map<String, GrantLedger> ledgers = new HashMap<>();
   private final Set<Reporter> reporters = new HashSet<>();
   private final long firstFencingNumber;
   private final long takenNanos;
+  private boolean swept;
+  private long sweptNanos;
   private boolean settled;
   private boolean mayRaise;
 
@@ -55,6 +60,17 @@
     return mayRaise;
   }
 
+  /** Notes that budgets and holders were looked at while the shard was owned. */
+  void swept(long nowNanos) {
+    swept = true;
+    sweptNanos = nowNanos;
+  }
+
+  /** Returns whether the ledgers are recent enough to extend grants by them. */
+  boolean isFresh(long nowNanos) {
+    return swept && nowNanos - sweptNanos <= FRESH_NANOS;
+  }
+
   void reportedBy(HolderSession session) {
     reporters.add(new Reporter(session.holderId(), session.incarnation()));
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/Amounts.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/Amounts.java
@@ -37,17 +37,17 @@
   /** Returns the sum; a sum with an unlimited amount is unlimited. */
   public Amounts plus(Amounts other) {
     return new Amounts(
-        plus(concurrent, other.concurrent),
-        plus(prefillTokens, other.prefillTokens),
-        plus(decodeTokens, other.decodeTokens));
+        sum(concurrent, other.concurrent),
+        sum(prefillTokens, other.prefillTokens),
+        sum(decodeTokens, other.decodeTokens));
   }
 
   /** Returns the difference, at least zero; an unlimited amount stays unlimited. */
   public Amounts minus(Amounts other) {
     return new Amounts(
-        minus(concurrent, other.concurrent),
-        minus(prefillTokens, other.prefillTokens),
-        minus(decodeTokens, other.decodeTokens));
+        difference(concurrent, other.concurrent),
+        difference(prefillTokens, other.prefillTokens),
+        difference(decodeTokens, other.decodeTokens));
   }
 
   /** Returns the larger of each amount. */
@@ -93,12 +93,12 @@
     return amount == -1 ? UNLIMITED : amount;
   }
 
-  private static long plus(long a, long b) {
+  private static long sum(long a, long b) {
     long sum = a + b;
     return sum < 0 ? UNLIMITED : sum;
   }
 
-  private static long minus(long a, long b) {
+  private static long difference(long a, long b) {
     return a == UNLIMITED ? UNLIMITED : Math.max(0, a - b);
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/Grant.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/Grant.java
@@ -15,9 +15,15 @@
  * @param grantId grows with every message to the receiver
  * @param requestId the newest report of the receiver; validity counts from when that was sent
  * @param shards the shards that the sender owns, of those reported
+ * @param probes questions that the receiver answers at once
  */
 public record Grant(
-    long ownerIncarnation, long grantId, long requestId, List<Shard> shards, List<Entry> entries)
+    long ownerIncarnation,
+    long grantId,
+    long requestId,
+    List<Shard> shards,
+    List<Entry> entries,
+    List<Probe> probes)
     implements PeerMessage {
   /** A shard with the fencing number of its owner. */
   public record Shard(int shard, long fencingNumber) {
@@ -50,8 +56,22 @@
     }
   }
 
+  /**
+   * Asks how many requests the receiver ran at an earlier time.
+   *
+   * @param ageNanos how long before the send of the message that was
+   */
+  public record Probe(String endpointId, long ageNanos) {
+    /** Checks the bounds. */
+    public Probe {
+      HolderReport.checkEndpointId(endpointId);
+      Checks.notNegative(ageNanos, "ageNanos");
+    }
+  }
+
   /** Copies the lists. */
   public Grant {
+    probes = List.copyOf(probes);
     shards = List.copyOf(shards);
     entries = List.copyOf(entries);
   }
@@ -75,12 +95,16 @@
       entry.slice.encode(packer);
       packer.packBoolean(entry.cold).packBoolean(entry.designated);
     }
+    packer.packArrayHeader(probes.size());
+    for (Probe probe : probes) {
+      packer.packString(probe.endpointId).packLong(probe.ageNanos);
+    }
   }
 
   static Grant decode(MessageUnpacker unpacker) throws IOException {
-    long ownerIncarnation = unpacker.unpackLong();
-    long grantId = unpacker.unpackLong();
-    long requestId = unpacker.unpackLong();
+    final long ownerIncarnation = unpacker.unpackLong();
+    final long grantId = unpacker.unpackLong();
+    final long requestId = unpacker.unpackLong();
     List<Shard> shards = new ArrayList<>();
     for (int count = HolderReport.decodeCount(unpacker); count > 0; count--) {
       shards.add(new Shard(unpacker.unpackInt(), unpacker.unpackLong()));
@@ -96,6 +120,10 @@
               unpacker.unpackBoolean(),
               unpacker.unpackBoolean()));
     }
-    return new Grant(ownerIncarnation, grantId, requestId, shards, entries);
+    List<Probe> probes = new ArrayList<>();
+    for (int count = HolderReport.decodeCount(unpacker); count > 0; count--) {
+      probes.add(new Probe(unpacker.unpackString(), unpacker.unpackLong()));
+    }
+    return new Grant(ownerIncarnation, grantId, requestId, shards, entries, probes);
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/HolderReport.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/HolderReport.java
@@ -15,6 +15,7 @@
  * @param requestId grows with every report to the owner
  * @param ownerIncarnation the owner's process that sent {@code appliedGrantId}
  * @param appliedGrantId the newest grant message that the holder applied, or 0
+ * @param answers the answers to the probes of {@code appliedGrantId}
  */
 public record HolderReport(
     long incarnation,
@@ -22,7 +23,8 @@
     long ownerIncarnation,
     long appliedGrantId,
     List<Shard> shards,
-    List<Entry> entries) {
+    List<Entry> entries,
+    List<Answer> answers) {
   /** The largest number of shards or entries in one message. */
   public static final int MAX_ENTRIES = 8_192;
 
@@ -48,26 +50,33 @@
    * @param fencingNumber the fencing number of the held grant, or 0 without one
    * @param held what the holder may run because of its grant or fallback slice
    * @param running what runs now
-   * @param lowWater the least number of requests that ran at once over the last second
    * @param demand what the holder would run now
    */
   public record Entry(
-      String endpointId,
-      long fencingNumber,
-      Amounts held,
-      Amounts running,
-      long lowWater,
-      Amounts demand) {
+      String endpointId, long fencingNumber, Amounts held, Amounts running, Amounts demand) {
     /** Checks the bounds. */
     public Entry {
       checkEndpointId(endpointId);
       Checks.notNegative(fencingNumber, "fencingNumber");
+    }
+  }
+
+  /**
+   * The answer to a probe.
+   *
+   * @param lowWater the least number of requests that ran around the probed time
+   */
+  public record Answer(String endpointId, long lowWater) {
+    /** Checks the bounds. */
+    public Answer {
+      checkEndpointId(endpointId);
       Checks.notNegative(lowWater, "lowWater");
     }
   }
 
   /** Copies the lists. */
   public HolderReport {
+    answers = List.copyOf(answers);
     shards = List.copyOf(shards);
     entries = List.copyOf(entries);
   }
@@ -95,16 +104,19 @@
       packer.packString(entry.endpointId).packLong(entry.fencingNumber);
       entry.held.encode(packer);
       entry.running.encode(packer);
-      packer.packLong(entry.lowWater);
       entry.demand.encode(packer);
     }
+    packer.packArrayHeader(answers.size());
+    for (Answer answer : answers) {
+      packer.packString(answer.endpointId).packLong(answer.lowWater);
+    }
   }
 
   static HolderReport decode(MessageUnpacker unpacker) throws IOException {
-    long incarnation = unpacker.unpackLong();
-    long requestId = unpacker.unpackLong();
-    long ownerIncarnation = unpacker.unpackLong();
-    long appliedGrantId = unpacker.unpackLong();
+    final long incarnation = unpacker.unpackLong();
+    final long requestId = unpacker.unpackLong();
+    final long ownerIncarnation = unpacker.unpackLong();
+    final long appliedGrantId = unpacker.unpackLong();
     List<Shard> shards = new ArrayList<>();
     for (int count = decodeCount(unpacker); count > 0; count--) {
       shards.add(new Shard(unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackBoolean()));
@@ -117,10 +129,13 @@
               unpacker.unpackLong(),
               Amounts.decode(unpacker),
               Amounts.decode(unpacker),
-              unpacker.unpackLong(),
               Amounts.decode(unpacker)));
     }
+    List<Answer> answers = new ArrayList<>();
+    for (int count = decodeCount(unpacker); count > 0; count--) {
+      answers.add(new Answer(unpacker.unpackString(), unpacker.unpackLong()));
+    }
     return new HolderReport(
-        incarnation, requestId, ownerIncarnation, appliedGrantId, shards, entries);
+        incarnation, requestId, ownerIncarnation, appliedGrantId, shards, entries, answers);
   }
 }
