--- /dev/null
+++ b/standins/src/main/java/org/buckthornferry/measure/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of shard ownership and grants: usable capacity, control traffic, store calls. */
+package org.buckthornferry.measure.capacity;
