--- a/buckthornferry/src/main/java/org/buckthornferry/request/Claim.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/Claim.java
@@ -16,6 +16,7 @@
   private String endpointId = "";
   private StoredResponse response;
   private long changedNanos;
+  private long probedNanos;
 
   /** Creates a claim that {@code token} holds. */
   Claim(
@@ -32,6 +33,7 @@
     this.token = token;
     this.state = ClaimState.CLAIMED;
     this.changedNanos = nowNanos;
+    this.probedNanos = nowNanos;
   }
 
   /**
@@ -94,6 +96,15 @@
     return nowNanos - changedNanos;
   }
 
+  /** Returns whether nothing was heard or asked for the interval, and counts it as asked. */
+  boolean probeIfDue(long nowNanos, long intervalNanos) {
+    if (nowNanos - changedNanos < intervalNanos || nowNanos - probedNanos < intervalNanos) {
+      return false;
+    }
+    probedNanos = nowNanos;
+    return true;
+  }
+
   /** Gives a released or reset claim to a new token. */
   void reclaim(ClaimToken newToken, boolean newIdempotent, long nowNanos) {
     change(ClaimState.CLAIMED, nowNanos);
--- a/buckthornferry/src/main/java/org/buckthornferry/request/ClaimClient.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimClient.java
@@ -28,6 +28,9 @@
  * the caller was truthfully told that its attempt did not run, and its repeat is told "unknown".
  */
 final class ClaimClient {
+  /** How many claim timeouts an ended token is remembered for late messages. */
+  private static final int ENDED_TIMEOUTS = 10;
+
   private final Blackboard blackboard;
   private final FormerOwner self;
   private final ClaimSettings settings;
@@ -35,7 +38,7 @@
   private final UpdateOutbox outbox;
   private final Map<Long, PendingClaim> pending = new LinkedHashMap<>();
   private final Map<RequestIdentity, OpenClaim> open = new HashMap<>();
-  private final LinkedHashMap<Long, Abandoned> abandoned = new LinkedHashMap<>();
+  private final LinkedHashMap<Long, Ended> ended = new LinkedHashMap<>();
   private ShardMap knownMap = ShardMap.EMPTY;
   private long lastTokenNumber;
 
@@ -63,7 +66,12 @@
     }
   }
 
-  private record Abandoned(ClaimFields fields, long sinceNanos) {}
+  /**
+   * A token that will not be dispatched any more.
+   *
+   * @param verdict {@code RELEASED} when it never was, otherwise {@code FAILED}
+   */
+  private record Ended(ClaimFields fields, ClaimUpdate.Kind verdict, long sinceNanos) {}
 
   ClaimClient(
       Blackboard blackboard,
@@ -120,6 +128,8 @@
       RequestIdentity identity, ClaimUpdate.Kind kind, ClaimResponse response, long nowNanos) {
     OpenClaim claim = open.remove(identity);
     if (claim != null) {
+      boolean released = kind == ClaimUpdate.Kind.RELEASED;
+      remember(claim.fields, released ? kind : ClaimUpdate.Kind.FAILED, nowNanos);
       update(claim.fields, kind, claim.endpointId, response, nowNanos);
     }
   }
@@ -144,9 +154,12 @@
     }
     PendingClaim claim = pending.get(reply.tokenNumber());
     if (claim == null) {
-      releaseIfAbandoned(reply, nowNanos);
+      refuseLateGrant(reply, nowNanos);
     } else if (reply.kind() != ClaimReply.Kind.NOT_OWNER) {
       pending.remove(reply.tokenNumber());
+      if (reply.kind() != ClaimReply.Kind.GRANTED && reply.kind() != ClaimReply.Kind.RESUMED) {
+        remember(claim.fields, ClaimUpdate.Kind.RELEASED, nowNanos);
+      }
       claim.outcome.complete(outcomeOf(reply, claim, nowNanos));
     }
   }
@@ -187,18 +200,28 @@
     return new ClaimOutcome.Running(self.instanceId(), claim.endpointId, streamable);
   }
 
-  private void releaseIfAbandoned(ClaimReply reply, long nowNanos) {
-    Abandoned claim = abandoned.get(reply.tokenNumber());
-    if (claim != null && reply.kind() == ClaimReply.Kind.GRANTED) {
-      update(claim.fields, ClaimUpdate.Kind.RELEASED, "", ClaimResponse.NONE, nowNanos);
+  /**
+   * A repeated or delayed request of an ended token was granted. Without an answer the owner would
+   * count the request as running.
+   */
+  private void refuseLateGrant(ClaimReply reply, long nowNanos) {
+    Ended token = ended.get(reply.tokenNumber());
+    if (token != null
+        && reply.kind() == ClaimReply.Kind.GRANTED
+        && !outbox.contains(reply.tokenNumber())) {
+      update(token.fields, token.verdict, "", ClaimResponse.NONE, nowNanos);
     }
   }
 
   private void abandon(ClaimFields fields, long nowNanos) {
-    abandoned.put(fields.tokenNumber(), new Abandoned(fields, nowNanos));
+    remember(fields, ClaimUpdate.Kind.RELEASED, nowNanos);
     update(fields, ClaimUpdate.Kind.RELEASED, "", ClaimResponse.NONE, nowNanos);
   }
 
+  private void remember(ClaimFields fields, ClaimUpdate.Kind verdict, long nowNanos) {
+    ended.put(fields.tokenNumber(), new Ended(fields, verdict, nowNanos));
+  }
+
   void onTick(long nowNanos) {
     noticeNewOwners(nowNanos);
     for (PendingClaim claim : List.copyOf(pending.values())) {
@@ -209,7 +232,7 @@
       }
     }
     outbox.onTick(nowNanos);
-    dropOldAbandoned(nowNanos);
+    forgetEnded(nowNanos);
   }
 
   /**
@@ -270,14 +293,14 @@
         .ifPresent(owner -> send.accept(owner, message));
   }
 
-  private void dropOldAbandoned(long nowNanos) {
-    long keepNanos = TimeUnit.MILLISECONDS.toNanos(settings.claimWindowMillis());
-    while (!abandoned.isEmpty()) {
-      Map.Entry<Long, Abandoned> oldest = abandoned.entrySet().iterator().next();
+  private void forgetEnded(long nowNanos) {
+    long keepNanos = ENDED_TIMEOUTS * TimeUnit.MILLISECONDS.toNanos(settings.claimTimeoutMillis());
+    while (!ended.isEmpty()) {
+      Map.Entry<Long, Ended> oldest = ended.entrySet().iterator().next();
       if (nowNanos - oldest.getValue().sinceNanos < keepNanos) {
         return;
       }
-      abandoned.remove(oldest.getKey());
+      ended.remove(oldest.getKey());
     }
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/request/ClaimController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimController.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -43,6 +44,7 @@
   private final ClaimOwner owner;
   private final ClaimClient client;
   private final ClaimRecovery.Environment recoveryEnvironment;
+  private final Set<Integer> everServed = new HashSet<>();
   private ClaimRecovery recovery;
   private long lastFetchNumber;
 
@@ -205,13 +207,24 @@
         new ClaimRecovery(
             recoveryEnvironment,
             shards,
-            ownership,
+            this::writersOf,
             blackboard.read(MembershipView.ENTRY),
             ++lastFetchNumber,
             nowNanos);
     backups.copiesOf(shards.keySet()).forEach(recovery::merge);
   }
 
+  /**
+   * Adds this process when it served the shard before, even if its ownership was never recorded.
+   */
+  private Set<FormerOwner> writersOf(int shard) {
+    Set<FormerOwner> writers = new LinkedHashSet<>(ownership.formerOwners(shard));
+    if (everServed.contains(shard)) {
+      writers.add(self);
+    }
+    return writers;
+  }
+
   private void recover(long nowNanos) {
     if (recovery == null) {
       return;
@@ -227,6 +240,7 @@
       return;
     }
     owner.serve(done, nowNanos);
+    everServed.addAll(done.fencingByShard().keySet());
     LOG.infof(
         "event=claim_shards_recovered shards=%d claims=%d elapsedMillis=%d",
         done.fencingByShard().size(), done.copies().size(), done.elapsedMillis(nowNanos));
--- a/buckthornferry/src/main/java/org/buckthornferry/request/ClaimJournal.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimJournal.java
@@ -316,6 +316,7 @@
     }
     JournalSegment stored = JournalSegment.decode(value.get().value());
     stored.seals().forEach((shard, fencing) -> seals.merge(shard, fencing, Math::max));
+    refuseSealed();
     if (stored.commitNumber() == current.segment.commitNumber()) {
       landed(current, value.get().version());
     } else if (stored.commitNumber() != commitNumber) {
@@ -370,11 +371,13 @@
         pending.addFirst(entry);
       }
     }
-    for (Entry entry : List.copyOf(pending)) {
-      if (isSealed(entry.copy) && pending.remove(entry)) {
-        refused.add(entry);
-      }
-    }
+    refused.forEach(ClaimJournal::refuse);
+  }
+
+  /** No record may follow the seal of its shard, whichever way the seal became known. */
+  private void refuseSealed() {
+    List<Entry> refused = pending.stream().filter(entry -> isSealed(entry.copy)).toList();
+    pending.removeAll(refused);
     refused.forEach(ClaimJournal::refuse);
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/request/ClaimOwner.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimOwner.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -26,6 +27,9 @@
  * recovery until the shard map names another owner. Used on the control thread only.
  */
 final class ClaimOwner {
+  /** Bounds the memory for refused tokens; repeats arrive within seconds. */
+  private static final int MAX_REFUSED_TOKENS = 4_096;
+
   private final Blackboard blackboard;
   private final PeerSender sender;
   private final OwnershipCheck ownership;
@@ -38,6 +42,7 @@
   private final Map<Integer, String> backupByShard = new HashMap<>();
   private final ArrayDeque<PendingGrant> pendingGrants = new ArrayDeque<>();
   private final Map<Claim, PendingGrant> grantByClaim = new HashMap<>();
+  private final LinkedHashSet<ClaimToken> refusedTokens = new LinkedHashSet<>();
   private final Set<RequestIdentity> answersCommitting = new HashSet<>();
   private MembershipView placedView = MembershipView.EMPTY;
 
@@ -114,7 +119,7 @@
   void onTick(long nowNanos) {
     refuseOverdueGrants(nowNanos);
     journal.onTick(nowNanos);
-    table.sweep(nowNanos, claim -> overdue(claim, nowNanos));
+    table.sweep(nowNanos, claim -> overdue(claim, nowNanos), claim -> probe(claim, nowNanos));
     placeBackups(false);
   }
 
@@ -124,6 +129,11 @@
       reply(request, ClaimReply.Kind.NOT_OWNER, 0);
       return;
     }
+    if (refusedTokens.contains(Messages.tokenOf(request))) {
+      // The client ends at the first refusal, so a late repeat must not claim again.
+      reply(request, ClaimReply.Kind.UNAVAILABLE, settings.journalWaitMillis());
+      return;
+    }
     Claim claim = table.get(Messages.identityOf(request));
     if (claim == null) {
       claimNew(request, shard, nowNanos);
@@ -168,8 +178,8 @@
       case RELEASED -> reply(request, ClaimReply.Kind.UNAVAILABLE, settings.journalWaitMillis());
       default -> {
         // A claim read from a journal was granted to this token, which alone may dispatch it.
-        boolean grantLost = !claim.isIdempotent() && claim.endpointId().isEmpty();
-        reply(request, grantLost ? ClaimReply.Kind.GRANTED : ClaimReply.Kind.UNKNOWN, 0);
+        boolean undecided = isUndecided(claim);
+        reply(request, undecided ? ClaimReply.Kind.GRANTED : ClaimReply.Kind.UNKNOWN, 0);
       }
     }
   }
@@ -198,7 +208,7 @@
 
   private void repeatOfRunning(Claim claim, ClaimFields request, long nowNanos) {
     ClaimToken token = Messages.tokenOf(request);
-    if (!hasEnded(claim.token(), token)) {
+    if (claim.isCommitting() || !hasEnded(claim.token(), token)) {
       replyRunning(claim, request);
     } else if (!claim.isIdempotent()) {
       claim.fail(nowNanos);
@@ -294,9 +304,10 @@
   }
 
   private void refuse(PendingGrant grant, long nowNanos) {
-    boolean neverStored = grant.entry.withdraw();
+    final boolean neverStored = grant.entry.withdraw();
     finish(grant);
     grant.claim.release(nowNanos);
+    rememberRefused(grant.claim.token());
     if (!neverStored) {
       // The claim may be in the store; the release keeps a new owner from taking it as unknown.
       journal.append(copy(grant.claim), null, nowNanos);
@@ -306,6 +317,13 @@
     }
   }
 
+  private void rememberRefused(ClaimToken token) {
+    refusedTokens.add(token);
+    if (refusedTokens.size() > MAX_REFUSED_TOKENS) {
+      refusedTokens.remove(refusedTokens.iterator().next());
+    }
+  }
+
   void onUpdate(ClaimUpdate update, int shard, long nowNanos) {
     if (!fencingByServedShard.containsKey(shard) || !ownership.ownsNow(shard, nowNanos)) {
       return;
@@ -346,8 +364,7 @@
       acknowledge(update);
       return;
     }
-    ClaimState next = stateAfter(update.kind());
-    if (!claim.state().allows(next, claim.isIdempotent())) {
+    if (!isNews(claim, update.kind())) {
       if (!answersCommitting.contains(claim.identity)) {
         acknowledge(update);
       }
@@ -394,6 +411,13 @@
     acknowledge(update);
   }
 
+  /** An update can arrive late; a report of a dispatch says nothing about a settled claim. */
+  private static boolean isNews(Claim claim, ClaimUpdate.Kind kind) {
+    return kind == ClaimUpdate.Kind.DISPATCHED
+        ? claim.state() == ClaimState.CLAIMED
+        : claim.state().allows(stateAfter(kind), claim.isIdempotent());
+  }
+
   private static ClaimState stateAfter(ClaimUpdate.Kind kind) {
     return switch (kind) {
       case DISPATCHED -> ClaimState.DISPATCHED;
@@ -418,14 +442,37 @@
     }
   }
 
+  /** Returns whether only the holder knows whether it has dispatched the request. */
+  private static boolean isUndecided(Claim claim) {
+    return claim.state() == ClaimState.CLAIMED
+        || (claim.state() == ClaimState.UNKNOWN
+            && !claim.isIdempotent()
+            && claim.endpointId().isEmpty());
+  }
+
+  /**
+   * Repeats a grant whose holder has not reported for long. A holder that has ended the token, for
+   * example because a late copy of its request was granted, answers with what became of it.
+   */
+  private void probe(Claim claim, long nowNanos) {
+    long intervalNanos = TimeUnit.MILLISECONDS.toNanos(settings.claimTimeoutMillis());
+    boolean open = isUndecided(claim) && !claim.isCommitting();
+    if (open && claim.probeIfDue(nowNanos, intervalNanos) && !holderHasEnded(claim.token())) {
+      reply(claim.fields(), ClaimReply.Kind.GRANTED, 0);
+    }
+  }
+
   private boolean hasEnded(ClaimToken holder, ClaimToken asking) {
     boolean restarted =
         holder.instanceId().equals(asking.instanceId())
             && holder.incarnation() < asking.incarnation();
-    return restarted
-        || blackboard
-            .read(MembershipView.ENTRY)
-            .hasEnded(holder.instanceId(), holder.incarnation());
+    return restarted || holderHasEnded(holder);
+  }
+
+  private boolean holderHasEnded(ClaimToken holder) {
+    return blackboard
+        .read(MembershipView.ENTRY)
+        .hasEnded(holder.instanceId(), holder.incarnation());
   }
 
   private ClaimCopy copy(Claim claim) {
--- a/buckthornferry/src/main/java/org/buckthornferry/request/ClaimRecovery.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimRecovery.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
 import org.buckthornferry.membership.MembershipView;
 import org.buckthornferry.peer.ClaimBackup;
 import org.buckthornferry.peer.ClaimCopy;
@@ -45,11 +46,12 @@
    * Starts a recovery.
    *
    * @param fencingByShard the shards with the fencing numbers of this process
+   * @param writersOf gives the processes whose journals may hold claims of a shard
    */
   ClaimRecovery(
       Environment environment,
       Map<Integer, Long> fencingByShard,
-      OwnershipCheck ownership,
+      IntFunction<Set<FormerOwner>> writersOf,
       MembershipView view,
       long requestNumber,
       long nowNanos) {
@@ -60,7 +62,7 @@
     Map<FormerOwner, Map<Integer, Long>> shardsByWriter = new LinkedHashMap<>();
     Set<String> targets = new TreeSet<>();
     for (Map.Entry<Integer, Long> shard : this.fencingByShard.entrySet()) {
-      for (FormerOwner former : ownership.formerOwners(shard.getKey())) {
+      for (FormerOwner former : writersOf.apply(shard.getKey())) {
         shardsByWriter
             .computeIfAbsent(former, writer -> new TreeMap<>())
             .put(shard.getKey(), shard.getValue());
--- a/buckthornferry/src/main/java/org/buckthornferry/request/ClaimTable.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimTable.java
@@ -109,8 +109,9 @@
    * Ages some claims.
    *
    * @param overdue is given every open claim that has not changed for the claim window
+   * @param examined is given every claim that is examined and stays
    */
-  void sweep(long nowNanos, Consumer<Claim> overdue) {
+  void sweep(long nowNanos, Consumer<Claim> overdue, Consumer<Claim> examined) {
     int count = Math.min(rotation.size(), MIN_SWEEP_PER_TICK + rotation.size() / SWEEP_TICKS);
     for (int i = 0; i < count; i++) {
       Claim claim = rotation.poll();
@@ -120,6 +121,7 @@
       age(claim, nowNanos, overdue);
       if (claims.get(claim.identity) == claim) {
         rotation.add(claim);
+        examined.accept(claim);
       }
     }
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/request/UpdateOutbox.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/UpdateOutbox.java
@@ -77,6 +77,10 @@
     }
   }
 
+  boolean contains(long tokenNumber) {
+    return pendingByToken.containsKey(tokenNumber);
+  }
+
   int size() {
     return pendingByToken.size();
   }
--- /dev/null
+++ b/standins/src/main/java/org/buckthornferry/measure/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Measurements of the library against simple baselines, as runnable classes. They print figures and
+ * decide nothing.
+ */
+package org.buckthornferry.measure;
