--- a/buckthornferry/src/main/java/org/buckthornferry/request/ClaimSettings.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ClaimSettings.java
@@ -45,8 +45,9 @@
           400,
           1_000_000,
           64L << 20,
-          // A commit rewrites its segment, so a larger segment costs more bytes for each commit.
-          256 << 10,
+          // A commit rewrites its segment, so a larger segment costs more bytes for each commit; a
+          // smaller one costs more deletions.
+          64 << 10,
           256 << 10,
           60_000,
           2_000);
--- a/standins/src/main/java/org/buckthornferry/measure/ClaimMeasurement.java
+++ b/standins/src/main/java/org/buckthornferry/measure/ClaimMeasurement.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -15,6 +16,7 @@
 import org.buckthornferry.membership.Member;
 import org.buckthornferry.membership.MemberState;
 import org.buckthornferry.membership.MembershipView;
+import org.buckthornferry.peer.PeerMessage;
 import org.buckthornferry.request.ClaimController;
 import org.buckthornferry.request.ClaimOutcome;
 import org.buckthornferry.request.ClaimSettings;
@@ -67,13 +69,14 @@
     private final ClaimMeasurementStore store;
     private final Map<String, ClaimController> controllers = new TreeMap<>();
     private final Map<String, Consumer<ShardMap>> maps = new HashMap<>();
+    private final Map<String, Consumer<MembershipView>> views = new HashMap<>();
     private final Map<Integer, List<FormerOwner>> formers = new HashMap<>();
 
     private Fleet(int owners, boolean keepsValues, int maxWritesPerSecond) {
       store = new ClaimMeasurementStore(clock, keepsValues, maxWritesPerSecond);
       Map<String, Member> members = new TreeMap<>();
       for (int i = 0; i < owners; i++) {
-        members.put(id(i), member(i));
+        members.put(id(i), member(i, MemberState.ALIVE));
       }
       for (int i = 0; i < owners; i++) {
         add(id(i), members);
@@ -91,33 +94,45 @@
       return "entry-" + index;
     }
 
-    private static Member member(int index) {
-      return new Member(
-          id(index), "127.0.0.1:1", "domain-" + index, "r", 1, 0, MemberState.ALIVE, true, 0);
+    private static Member member(int index, MemberState state) {
+      return new Member(id(index), "127.0.0.1:1", "domain-" + index, "r", 1, 0, state, true, 0);
     }
 
     private void add(String id, Map<String, Member> members) {
       Blackboard blackboard = new Blackboard();
       maps.put(id, blackboard.writerOf(ShardMap.ENTRY));
-      blackboard
-          .writerOf(MembershipView.ENTRY)
-          .accept(new MembershipView(id, members, java.util.Set.of()));
+      views.put(id, blackboard.writerOf(MembershipView.ENTRY));
+      views.get(id).accept(new MembershipView(id, members, Set.of()));
       controllers.put(
           id,
           new ClaimController(
               id,
               1,
               blackboard,
-              (to, message) ->
-                  clock.after(
-                      NETWORK_NANOS,
-                      () -> controllers.get(to).onMessage(id, message, clock.nanoTime())),
+              (to, message) -> clock.after(NETWORK_NANOS, () -> deliver(id, to, message)),
               store,
               new Ownership(formers),
               clock,
               ClaimSettings.DEFAULT));
     }
 
+    /** Messages to a process that has ended are lost. */
+    private void deliver(String from, String to, PeerMessage message) {
+      ClaimController target = controllers.get(to);
+      if (target != null) {
+        target.onMessage(from, message, clock.nanoTime());
+      }
+    }
+
+    /** Ends the first process; the second one learns of it. */
+    private void endFirst() {
+      controllers.remove(id(0));
+      Map<String, Member> members = new TreeMap<>();
+      members.put(id(0), member(0, MemberState.DEAD));
+      members.put(id(1), member(1, MemberState.ALIVE));
+      views.get(id(1)).accept(new MembershipView(id(1), members, Set.of(id(0))));
+    }
+
     private void publish(Map<Integer, ShardOwner> owners) {
       ShardMap map = new ShardMap(SHARDS, Map.of(ShardKind.CLAIM, owners));
       maps.values().forEach(writer -> writer.accept(map));
@@ -259,7 +274,7 @@
         fleet.formers.put(shard, List.of(new FormerOwner(Fleet.id(0), 1)));
       }
     }
-    fleet.controllers.remove(Fleet.id(0));
+    fleet.endFirst();
     ClaimController taker = fleet.controller(1);
     final long readsBefore = fleet.store.reads;
     final long startNanos = fleet.clock.nanoTime();
