--- a/buckthornferry/src/main/java/org/buckthornferry/routing/EndpointChooser.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/routing/EndpointChooser.java
@@ -32,6 +32,12 @@
   /** The first endpoints of the order that are compared exactly. */
   private static final int COMPARED = 8;
 
+  /**
+   * The endpoints set aside that one decision looks at again. More than one would only set the same
+   * full endpoints aside again at high load.
+   */
+  private static final int RECHECKED = 1;
+
   /** The endpoints without room that one decision may set aside. */
   private static final int MAX_PARKED_PER_DECISION = 16;
 
@@ -274,7 +280,7 @@
   }
 
   private void recheckParked(long nowNanos) {
-    for (int i = 0; i < COMPARED && !parked.isEmpty(); i++) {
+    for (int i = 0; i < RECHECKED && !parked.isEmpty(); i++) {
       EndpointSlot slot = parked.first();
       if (slot.checkNanos - nowNanos > 0) {
         return;
--- a/standins/src/main/java/org/buckthornferry/measure/Fault.java
+++ b/standins/src/main/java/org/buckthornferry/measure/Fault.java
@@ -12,7 +12,7 @@
   DRAIN,
   /** Load reports are 5 s late. */
   STALE,
-  /** One customer sends twice the capacity in the lowest and the middle tier. */
+  /** The smallest customer sends further questions at twice the rate of all others. */
   FLOOD,
   /** A request crashes each engine that runs it, and its caller repeats it every 5 s. */
   POISON
