--- a/buckthornferry/src/main/java/org/buckthornferry/routing/EndpointChooser.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/routing/EndpointChooser.java
@@ -32,6 +32,12 @@
   /** The first endpoints of the order that are compared exactly. */
   private static final int COMPARED = 8;
 
+  /**
+   * The endpoints set aside that one decision looks at again. More than one would only set the same
+   * full endpoints aside again at high load.
+   */
+  private static final int RECHECKED = 1;
+
   /** The endpoints without room that one decision may set aside. */
   private static final int MAX_PARKED_PER_DECISION = 16;
 
@@ -125,7 +131,8 @@
           || !versions.mayDispatch(serviceId, entry.getKey(), nowNanos)) {
         continue;
       }
-      for (EndpointSlot slot : compared(entry.getValue(), cachedBlocks, excluded, nowNanos)) {
+      for (EndpointSlot slot :
+          compared(entry.getKey(), entry.getValue(), cachedBlocks, excluded, nowNanos)) {
         int blocks = cachedBlocks.getOrDefault(slot.declaration.id(), 0);
         best = earlier(best, candidate(slot, cost, blocks, nowNanos));
       }
@@ -219,6 +226,7 @@
   }
 
   private List<EndpointSlot> compared(
+      String version,
       NavigableSet<EndpointSlot> ready,
       Map<String, Integer> cachedBlocks,
       Set<String> excluded,
@@ -243,7 +251,11 @@
     full.forEach(slot -> park(slot, nowNanos));
     for (String endpointId : cachedBlocks.keySet()) {
       EndpointSlot slot = slots.get(endpointId);
-      boolean usable = slot != null && ready.contains(slot) && !excluded.contains(endpointId);
+      boolean usable =
+          slot != null
+              && slot.place == EndpointSlot.Place.READY
+              && slot.declaration.version().equals(version)
+              && !excluded.contains(endpointId);
       if (usable && limits.available(endpointId, nowNanos) > 0) {
         compared.add(slot);
       }
@@ -274,7 +286,7 @@
   }
 
   private void recheckParked(long nowNanos) {
-    for (int i = 0; i < COMPARED && !parked.isEmpty(); i++) {
+    for (int i = 0; i < RECHECKED && !parked.isEmpty(); i++) {
       EndpointSlot slot = parked.first();
       if (slot.checkNanos - nowNanos > 0) {
         return;
