--- a/standins/src/main/java/org/buckthornferry/standin/StandInParser.java
+++ b/standins/src/main/java/org/buckthornferry/standin/StandInParser.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.standin;
 
 import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -9,15 +10,22 @@
 final class StandInParser {
   private final Map<String, StandInCommand> commands = new LinkedHashMap<>();
   private final AllCommand all = new AllCommand();
+  private final GlobalOptions global = new GlobalOptions();
   private final JCommander parser;
 
+  /** The options before a sub-command. */
+  private static final class GlobalOptions {
+    @Parameter(names = "--help", help = true, description = "Prints the commands and options")
+    private boolean help;
+  }
+
   StandInParser() {
     commands.put("store", new StoreCommand());
     commands.put("engine", new EngineCommand());
     commands.put("service", new ServiceCommand());
     commands.put("instances", new InstancesCommand());
     commands.put("weights", new WeightsCommand());
-    JCommander.Builder builder = JCommander.newBuilder().programName("standin");
+    JCommander.Builder builder = JCommander.newBuilder().programName("standin").addObject(global);
     commands.forEach(builder::addCommand);
     builder.addCommand("all", all);
     parser = builder.build();
@@ -43,7 +51,8 @@
   }
 
   boolean asksForHelp() {
-    return parser.getParsedCommand() == null
+    return global.help
+        || parser.getParsedCommand() == null
         || all.help
         || command().map(c -> c.help).orElse(false);
   }
