Close the port of a failed endpoint and hash prefixes as the scheduler does

The scheduler tells a process that has ended from a slow one by the refused connection, so a stand-in that accepted and dropped connections while it was down hid the crash. The load report now has startId and completedTotal, which the scheduler reads. Prefix hashes are computed from the bytes of the body with the function of RequestContent; hashes of the parsed prompt could never match.

--- a/standins/src/main/java/org/buckthornferry/load/StandInQueries.java
+++ b/standins/src/main/java/org/buckthornferry/load/StandInQueries.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.buckthornferry.config.Json;
 import org.buckthornferry.http.Addresses;
 import org.buckthornferry.http.HttpConnector;
@@ -20,6 +22,8 @@
 final class StandInQueries {
   private static final Logger LOG = Logger.getLogger(StandInQueries.class);
   private static final long TIMEOUT_MILLIS = 10_000;
+  private static final int MAX_ATTEMPTS = 10;
+  private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final byte[] NO_BODY = {};
 
   private final HttpConnector connector;
@@ -70,17 +74,23 @@
     return sums;
   }
 
+  /** Asks several times, because an endpoint that failed closes its port for some seconds. */
   private <T> Optional<T> get(String address, String path, Class<T> type) {
-    try {
-      HttpReply reply =
-          connector
-              .exchange(Addresses.parse(address), "GET", path, Map.of(), NO_BODY, TIMEOUT_MILLIS)
-              .join();
-      return Optional.of(Json.MAPPER.readValue(reply.body(), type));
-    } catch (CompletionException | IOException e) {
-      LOG.warnf("load.standin.unreachable address=%s path=%s reason=%s", address, path, e);
-      return Optional.empty();
+    for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+      try {
+        return Optional.of(Json.MAPPER.readValue(fetch(address, path).body(), type));
+      } catch (CompletionException | IOException e) {
+        LOG.warnf("load.standin.unreachable address=%s path=%s reason=%s", address, path, e);
+        LockSupport.parkNanos(RETRY_NANOS);
+      }
     }
+    return Optional.empty();
+  }
+
+  private HttpReply fetch(String address, String path) {
+    return connector
+        .exchange(Addresses.parse(address), "GET", path, Map.of(), NO_BODY, TIMEOUT_MILLIS)
+        .join();
   }
 
   private static EndpointLog since(EndpointLog log, long fromMillis) {
--- a/standins/src/main/java/org/buckthornferry/standin/CacheEvent.java
+++ b/standins/src/main/java/org/buckthornferry/standin/CacheEvent.java
@@ -5,7 +5,7 @@
  *
  * @param sequence grows by one with every event, also with those that are never published
  * @param kind {@code stored} or {@code evicted}
- * @param prefixHash the hash of the prompt prefix
+ * @param prefixHash the hash of the body prefix, see {@link PrefixHashes}
  * @param tokens the prompt tokens of the whole prefix
  */
-record CacheEvent(long sequence, String kind, String prefixHash, long tokens) {}
+record CacheEvent(long sequence, String kind, long prefixHash, long tokens) {}
--- a/standins/src/main/java/org/buckthornferry/standin/CacheEventLog.java
+++ b/standins/src/main/java/org/buckthornferry/standin/CacheEventLog.java
@@ -25,7 +25,7 @@
     this.random = random;
   }
 
-  void add(String kind, String prefixHash, long tokens, long nowNanos) {
+  void add(String kind, long prefixHash, long tokens, long nowNanos) {
     lastSequence++;
     if (dropShare > 0 && random.nextDouble() < dropShare) {
       return;
--- a/standins/src/main/java/org/buckthornferry/standin/Engine.java
+++ b/standins/src/main/java/org/buckthornferry/standin/Engine.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.util.MonotonicClock;
@@ -34,6 +35,9 @@
   private long coldUntilNanos;
   private long downUntilNanos;
   private long leavingSinceMillis;
+  private long startId;
+  private boolean listening = true;
+  private Consumer<Boolean> availability = listen -> {};
   private long dispatched;
   private long dispatchedOfVersion;
   private long refused;
@@ -54,6 +58,7 @@
     this.version = settings.version();
     this.cacheEvents =
         new CacheEventLog(settings.cacheEventDelayMillis(), settings.cacheEventDropShare(), random);
+    this.startId = wallMillis.getAsLong();
     long nowNanos = clock.nanoTime();
     this.core =
         new EngineCore(settings, new PrefixCache(settings.cacheTokens(), cacheEvents), nowNanos);
@@ -64,6 +69,11 @@
     takeReport();
   }
 
+  /** Registers who closes the port when the engine fails and opens it when it is back. */
+  void onAvailability(Consumer<Boolean> listener) {
+    availability = listener;
+  }
+
   boolean isDown() {
     return clock.nanoTime() - downUntilNanos < 0;
   }
@@ -217,6 +227,10 @@
     double speed = isCold() ? settings.coldFactor() : 1;
     core.advance(nowNanos, isDown() ? 0 : speed / faults.current().stragglerFactor());
     core.endComplete(wallMillis.getAsLong());
+    if (!listening && !isDown()) {
+      listening = true;
+      availability.accept(true);
+    }
     cancelOrphans(nowNanos);
     takeReport();
   }
@@ -253,6 +267,9 @@
     core.endAll(wallMillis.getAsLong());
     streams.clear();
     streamOrder.clear();
+    startId = wallMillis.getAsLong() + crashes;
+    listening = false;
+    availability.accept(false);
     downUntilNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.downMillis());
     coldUntilNanos = downUntilNanos + coldNanos();
   }
@@ -321,6 +338,8 @@
             active.leaving(),
             version,
             reports.tokensPerSecond(nowNanos, generated),
+            startId,
+            stats().finished(),
             0));
   }
 }
--- a/standins/src/main/java/org/buckthornferry/standin/EngineStandIn.java
+++ b/standins/src/main/java/org/buckthornferry/standin/EngineStandIn.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.config.Json;
@@ -45,6 +46,11 @@
     faults.onMerge(() -> loop.execute(engine::onFaultsSwitched));
   }
 
+  @Override
+  public void onListening(Consumer<Boolean> listener) {
+    engine.onAvailability(listener);
+  }
+
   @Override
   public FaultSwitch<EngineFaults> faults() {
     return faults;
@@ -129,7 +135,7 @@
       return;
     }
     RunSpec spec =
-        RunSpec.ofPrompt(
+        RunSpec.of(
             exchange
                 .header("Request-Id")
                 .orElseThrow(() -> new IllegalArgumentException("Request-Id is missing")),
@@ -137,6 +143,7 @@
             exchange.header("Idempotency-Key").orElse(""),
             exchange.header("Endpoint-Fencing").orElse(""),
             request.prompt(),
+            exchange.body(),
             request.promptTokens(),
             request.maxTokens());
     StreamSink sink = new StreamSink(exchange, 0, engine.truncatesNext());
--- a/standins/src/main/java/org/buckthornferry/standin/LoadReport.java
+++ b/standins/src/main/java/org/buckthornferry/standin/LoadReport.java
@@ -10,6 +10,8 @@
  * @param leaving whether the endpoint will stop
  * @param version the loaded version
  * @param tokensPerSecond the tokens generated in the last second
+ * @param startId differs after each start of the endpoint
+ * @param completedTotal the requests that ended in full since the start of the stand-in
  * @param ageMillis the age of the report
  */
 record LoadReport(
@@ -20,6 +22,8 @@
     boolean leaving,
     String version,
     double tokensPerSecond,
+    long startId,
+    long completedTotal,
     long ageMillis) {
   LoadReport withAge(long newAgeMillis) {
     return new LoadReport(
@@ -30,6 +34,8 @@
         leaving,
         version,
         tokensPerSecond,
+        startId,
+        completedTotal,
         newAgeMillis);
   }
 }
--- a/standins/src/main/java/org/buckthornferry/standin/PrefixCache.java
+++ b/standins/src/main/java/org/buckthornferry/standin/PrefixCache.java
@@ -9,7 +9,7 @@
 final class PrefixCache {
   private final long maxTokens;
   private final CacheEventLog events;
-  private final Map<String, Block> blocks = new LinkedHashMap<>(16, 0.75f, true);
+  private final Map<Long, Block> blocks = new LinkedHashMap<>(16, 0.75f, true);
   private long heldTokens;
 
   private record Block(long tokens, long prefixTokens) {}
@@ -20,9 +20,9 @@
   }
 
   /** Returns how many of the prompt's tokens are cached. */
-  long cachedTokens(List<String> prefixHashes) {
+  long cachedTokens(List<Long> prefixHashes) {
     long cached = 0;
-    for (String hash : prefixHashes) {
+    for (Long hash : prefixHashes) {
       Block block = blocks.get(hash);
       if (block == null) {
         break;
@@ -33,9 +33,9 @@
   }
 
   /** Stores every prefix of a prompt whose prefill has ended. */
-  void store(List<String> prefixHashes, long tokensPerBlock, long nowNanos) {
+  void store(List<Long> prefixHashes, long tokensPerBlock, long nowNanos) {
     long prefixTokens = 0;
-    for (String hash : prefixHashes) {
+    for (Long hash : prefixHashes) {
       prefixTokens += tokensPerBlock;
       if (blocks.containsKey(hash)) {
         continue;
@@ -58,9 +58,9 @@
   }
 
   private void evict(long nowNanos) {
-    Iterator<Map.Entry<String, Block>> oldest = blocks.entrySet().iterator();
+    Iterator<Map.Entry<Long, Block>> oldest = blocks.entrySet().iterator();
     while (heldTokens > maxTokens && oldest.hasNext()) {
-      Map.Entry<String, Block> entry = oldest.next();
+      Map.Entry<Long, Block> entry = oldest.next();
       heldTokens -= entry.getValue().tokens;
       events.add("evicted", entry.getKey(), entry.getValue().prefixTokens, nowNanos);
       oldest.remove();
--- a/standins/src/main/java/org/buckthornferry/standin/RunSpec.java
+++ b/standins/src/main/java/org/buckthornferry/standin/RunSpec.java
@@ -7,7 +7,7 @@
  * What a request asks of an engine.
  *
  * @param promptHash the hash of the whole prompt
- * @param prefixHashes the hashes of the prompt's prefix blocks
+ * @param prefixHashes the hashes of the body's prefix blocks
  * @param tokensPerBlock the prompt tokens in one prefix block
  * @param maxTokens the tokens to generate
  */
@@ -17,7 +17,7 @@
     String idempotencyKey,
     String fencing,
     String promptHash,
-    List<String> prefixHashes,
+    List<Long> prefixHashes,
     long promptTokens,
     long tokensPerBlock,
     long maxTokens) {
@@ -30,23 +30,24 @@
     Checks.positive(maxTokens, "maxTokens");
   }
 
-  /** Returns the specification of a request with its prompt. */
-  static RunSpec ofPrompt(
+  /** Returns the specification of a request with its prompt and body. */
+  static RunSpec of(
       String requestId,
       String path,
       String idempotencyKey,
       String fencing,
       String prompt,
+      byte[] body,
       long promptTokens,
       long maxTokens) {
-    long perBlock = promptTokens * PromptText.BLOCK_CHARS / Math.max(1, prompt.length());
+    long perBlock = promptTokens * PrefixHashes.BLOCK_BYTES / Math.max(1, body.length);
     return new RunSpec(
         requestId,
         path,
         idempotencyKey,
         fencing,
         PromptText.hash(prompt),
-        PromptText.prefixHashes(prompt),
+        PrefixHashes.of(body),
         promptTokens,
         perBlock,
         maxTokens);
--- a/standins/src/main/java/org/buckthornferry/standin/ServiceFaults.java
+++ b/standins/src/main/java/org/buckthornferry/standin/ServiceFaults.java
@@ -11,7 +11,7 @@
  * @param crossedShare the share that gets the answer of another request
  * @param truncatedShare the share whose answer ends early
  * @param extraDelayMillis the time that is added to each run, in milliseconds
- * @param down whether every connection is closed without a run
+ * @param downMillis closes the port for this time when the faults are switched
  * @param leaving whether the load report says that the service leaves
  * @param versionFault the fault of one version
  */
@@ -22,11 +22,11 @@
     double crossedShare,
     double truncatedShare,
     long extraDelayMillis,
-    boolean down,
+    long downMillis,
     boolean leaving,
     VersionFault versionFault) {
   static final ServiceFaults NONE =
-      new ServiceFaults(0, 0, 0, 0, 0, 0, false, false, VersionFault.NONE);
+      new ServiceFaults(0, 0, 0, 0, 0, 0, 0, false, VersionFault.NONE);
 
   ServiceFaults {
     checkShare(refuseShare, "refuseShare");
@@ -35,9 +35,24 @@
     checkShare(crossedShare, "crossedShare");
     checkShare(truncatedShare, "truncatedShare");
     Checks.notNegative(extraDelayMillis, "extraDelayMillis");
+    Checks.notNegative(downMillis, "downMillis");
     Checks.notNull(versionFault, "versionFault");
   }
 
+  /** Returns the faults without the ones that take effect once. */
+  ServiceFaults withoutTriggers() {
+    return new ServiceFaults(
+        refuseShare,
+        dropAfterRunShare,
+        dropBeforeRunShare,
+        crossedShare,
+        truncatedShare,
+        extraDelayMillis,
+        0,
+        leaving,
+        versionFault);
+  }
+
   private static void checkShare(double share, String name) {
     Checks.check(share >= 0 && share <= 1, name + " must be 0 to 1");
   }
--- a/standins/src/main/java/org/buckthornferry/standin/ServiceStandIn.java
+++ b/standins/src/main/java/org/buckthornferry/standin/ServiceStandIn.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.config.Json;
@@ -37,6 +38,9 @@
   private long refused;
   private long dropped;
   private long leavingSinceMillis;
+  private long startId;
+  private boolean down;
+  private Consumer<Boolean> portListener = listen -> {};
 
   private record Identity(String requestId, String idempotencyKey, String contentHash) {}
 
@@ -61,6 +65,7 @@
     this.wallMillis = wallMillis;
     this.random = random;
     this.version = settings.version();
+    this.startId = wallMillis.getAsLong();
     this.fencing = new Fencing(settings.checksFencing());
     this.previousAnswer = answer(new Identity("none", "", "none"), 1);
     faults.onMerge(() -> loop.execute(this::onFaultsSwitched));
@@ -76,6 +81,11 @@
     loop.execute(() -> handleOnLoop(exchange));
   }
 
+  @Override
+  public void onListening(Consumer<Boolean> listener) {
+    portListener = listener;
+  }
+
   private void handleOnLoop(HttpExchange exchange) {
     try {
       route(exchange);
@@ -97,7 +107,7 @@
 
   private void request(HttpExchange exchange) {
     ServiceFaults active = faults.current();
-    if (active.down() || happens(active.dropBeforeRunShare())) {
+    if (down || happens(active.dropBeforeRunShare())) {
       exchange.abort();
     } else if (running >= settings.maxConcurrent() || happens(active.refuseShare())) {
       refused++;
@@ -208,10 +218,16 @@
   }
 
   private LoadReport loadReport() {
-    return new LoadReport(running, 0, 0, false, faults.current().leaving(), version, 0, 0);
+    return new LoadReport(
+        running, 0, 0, false, faults.current().leaving(), version, 0, startId, executed, 0);
   }
 
   private void onFaultsSwitched() {
+    long downMillis = faults.current().downMillis();
+    if (downMillis > 0) {
+      faults.update(ServiceFaults::withoutTriggers);
+      goDown(downMillis);
+    }
     if (!faults.current().leaving()) {
       leavingSinceMillis = 0;
     } else if (leavingSinceMillis == 0) {
@@ -219,6 +235,18 @@
     }
   }
 
+  private void goDown(long downMillis) {
+    down = true;
+    portListener.accept(false);
+    loop.schedule(this::comeBack, downMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void comeBack() {
+    down = false;
+    startId = wallMillis.getAsLong();
+    portListener.accept(true);
+  }
+
   private boolean happens(double share) {
     return share > 0 && random.nextDouble() < share;
   }
--- a/standins/src/main/java/org/buckthornferry/standin/StandInServer.java
+++ b/standins/src/main/java/org/buckthornferry/standin/StandInServer.java
@@ -3,6 +3,9 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.HttpLimits;
 import org.buckthornferry.http.HttpServer;
@@ -15,33 +18,61 @@
 
   private final String name;
   private final StandIn standIn;
-  private final HttpServer server;
+  private final EventLoopGroup eventLoops;
+  private final ExecutorService portThread;
+  private int port;
+  private HttpServer server;
 
   StandInServer(String name, int port, EventLoopGroup eventLoops, StandIn standIn) {
     this.name = name;
+    this.port = port;
+    this.eventLoops = eventLoops;
     this.standIn = standIn;
-    this.server =
-        new HttpServer(
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
-            HttpLimits.INTERNAL,
-            java.util.Optional.empty(),
-            eventLoops,
-            this::handle);
+    this.portThread =
+        Executors.newSingleThreadExecutor(
+            task -> {
+              Thread thread = new Thread(task, "port-" + name);
+              thread.setDaemon(true);
+              return thread;
+            });
   }
 
   /** Starts to listen and returns the bound port. */
   int start() {
+    standIn.onListening(listen -> portThread.execute(() -> setListening(listen)));
     standIn.start();
-    int port = server.start().join();
+    setListening(true);
     LOG.infof("standin.started name=%s port=%d", name, port);
     return port;
   }
 
   void stop() {
-    server.stop();
+    portThread.shutdownNow();
+    closePort();
     standIn.stop();
   }
 
+  private synchronized void setListening(boolean listen) {
+    closePort();
+    if (listen) {
+      server =
+          new HttpServer(
+              new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+              HttpLimits.INTERNAL,
+              Optional.empty(),
+              eventLoops,
+              this::handle);
+      port = server.start().join();
+    }
+  }
+
+  private synchronized void closePort() {
+    if (server != null) {
+      server.stop();
+      server = null;
+    }
+  }
+
   private void handle(HttpExchange exchange) {
     if (exchange.path().equals(FAULTS_PATH)) {
       handleFaults(exchange);
--- a/standins/src/test/java/org/buckthornferry/standin/EngineTest.java
+++ b/standins/src/test/java/org/buckthornferry/standin/EngineTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class EngineTest {
@@ -14,6 +16,9 @@
   @Test
   void crashMarkerDropsAllStreamsAndComesBackCold() {
     Engine engine = engine(false);
+    List<Boolean> listening = new ArrayList<>();
+    engine.onAvailability(listening::add);
+    final long startId = engine.loadReport().startId();
     Engines.Recorder other = dispatch(engine, "r1", "fine");
     Engines.Recorder marked = dispatch(engine, "r2", "do CRASH now");
     assertThat(other.ended).isEqualTo(RunState.CRASHED);
@@ -23,6 +28,9 @@
     assertThat(engine.isDown()).isFalse();
     assertThat(engine.isCold()).isTrue();
     assertThat(engine.stream("r1")).isEmpty();
+    engine.tick();
+    assertThat(listening).containsExactly(false, true).inOrder();
+    assertThat(engine.loadReport().startId()).isNotEqualTo(startId);
   }
 
   /** Guards against a cold engine that takes any load, which would hide a broken P4. */
--- a/standins/src/test/java/org/buckthornferry/standin/Engines.java
+++ b/standins/src/test/java/org/buckthornferry/standin/Engines.java
@@ -1,5 +1,6 @@
 package org.buckthornferry.standin;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -36,7 +37,15 @@
   }
 
   static RunSpec spec(String requestId, String prompt, long promptTokens, long maxTokens) {
-    return RunSpec.ofPrompt(requestId, "/ask", "", "", prompt, promptTokens, maxTokens);
+    return RunSpec.of(
+        requestId,
+        "/ask",
+        "",
+        "",
+        prompt,
+        prompt.getBytes(StandardCharsets.UTF_8),
+        promptTokens,
+        maxTokens);
   }
 
   /** A clock that moves only when a test says so. */
