--- a/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/MessageType.java
@@ -6,6 +6,23 @@
 /** The closed set of message types with their codes on the wire. */
 public enum MessageType {
   HELLO(1, Hello::decode),
+  HEARTBEAT(2, Heartbeat::decode),
+  MEMBER_UPDATE(3, MemberUpdate::decode),
+  CONFIG_REQUEST(4, ConfigRequest::decode),
+  CONFIG_REPLY(5, ConfigReply::decode),
+  GRANT_REQUEST(10, GrantRequest::decode),
+  GRANT(11, Grant::decode),
+  GRANT_ACK(12, GrantAck::decode),
+  SHARD_OWNERS(13, ShardOwners::decode),
+  CLAIM(20, ClaimRequest::decode),
+  CLAIM_REPLY(21, ClaimReply::decode),
+  CLAIM_UPDATE(22, ClaimUpdate::decode),
+  CLAIM_BACKUP(23, ClaimBackup::decode),
+  SHED_PROPOSE(30, ShedPropose::decode),
+  SHED_ACK(31, ShedAck::decode),
+  SHED_LOWER(32, ShedLower::decode),
+  QUARANTINE(33, QuarantineNotice::decode),
+  ENDPOINT_STATE(34, EndpointStateNotice::decode),
   VERSION_FAULT(40, VersionFault::decode),
   ROLLOUT_STATE(41, RolloutStateMessage::decode),
   ROLLOUT_REPORT(42, RolloutReport::decode);
--- a/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/peer/PeerMessage.java
@@ -5,7 +5,27 @@
 
 /** A message between two instances. Every implementation is an immutable record. */
 public sealed interface PeerMessage
-    permits Hello, VersionFault, RolloutStateMessage, RolloutReport {
+    permits Hello,
+        VersionFault,
+        RolloutStateMessage,
+        RolloutReport,
+        Heartbeat,
+        MemberUpdate,
+        ConfigRequest,
+        ConfigReply,
+        ShedPropose,
+        ShedAck,
+        ShedLower,
+        QuarantineNotice,
+        EndpointStateNotice,
+        ClaimBackup,
+        ClaimReply,
+        ClaimRequest,
+        ClaimUpdate,
+        GrantRequest,
+        Grant,
+        GrantAck,
+        ShardOwners {
   /** Returns the type, which decides the encoding. */
   MessageType type();
 
--- a/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
+++ b/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
@@ -2,10 +2,10 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
-import org.buckthornferry.config.Json;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 import org.buckthornferry.config.Settings;
 import org.buckthornferry.node.EntryNode;
 
@@ -22,8 +22,8 @@
 
   @Override
   public ExitCode run() throws Exception {
-    Settings settings =
-        Json.MAPPER.readValue(Files.readAllBytes(Path.of(settingsFile)), Settings.class);
+    logJsonLines();
+    Settings settings = Settings.load(Path.of(settingsFile));
     EntryNode node = new EntryNode(settings);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
@@ -38,4 +38,11 @@
     stopped.await();
     return ExitCode.SUCCESS;
   }
+
+  private static void logJsonLines() {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      handler.setFormatter(new JsonLogFormatter());
+    }
+  }
 }
