--- a/buckthornferry/src/main/java/org/buckthornferry/config/DeclarationChecks.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/DeclarationChecks.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,7 +21,7 @@
   private final List<CustomerDeclaration> customers = new ArrayList<>();
   private final List<ServiceDeclaration> services = new ArrayList<>();
   private final Map<String, String> firstUse = new HashMap<>();
-  private final Map<String, Reference> domainReferences = new java.util.LinkedHashMap<>();
+  private final Map<String, Reference> domainReferences = new LinkedHashMap<>();
   private boolean failureDomainsKnown;
   private int endpointCount;
 
--- a/buckthornferry/src/main/java/org/buckthornferry/config/DeclarationLoader.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/DeclarationLoader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -74,7 +75,7 @@
                 "1 to " + MAX_SERVICE_FILES));
       }
       return found.size() > MAX_SERVICE_FILES ? List.of() : found;
-    } catch (IOException | java.io.UncheckedIOException e) {
+    } catch (IOException | UncheckedIOException e) {
       problems.add(
           new ConfigProblem(
               directory.toString(), "$", e.getClass().getSimpleName(), "a readable directory"));
--- a/buckthornferry/src/main/java/org/buckthornferry/config/EncodedRevision.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/EncodedRevision.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
@@ -52,7 +53,7 @@
   public EncodedRevision next(String attemptId, Declarations declarations) {
     List<String> recent = recentAttemptIds;
     if (snapshot.revision() > 0) {
-      recent = new java.util.ArrayList<>();
+      recent = new ArrayList<>();
       recent.add(snapshot.attemptId());
       recent.addAll(recentAttemptIds);
       recent = recent.subList(0, Math.min(MAX_RECENT_ATTEMPTS, recent.size()));
--- a/buckthornferry/src/main/java/org/buckthornferry/config/JsonFile.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/JsonFile.java
@@ -139,7 +139,11 @@
     return e.getOriginalMessage() + where;
   }
 
-  /** Returns the problems as an exception when there are any. */
+  /**
+   * Throws when there are problems.
+   *
+   * @throws ConfigException with all of them
+   */
   static void throwIfAny(List<ConfigProblem> problems) {
     if (!problems.isEmpty()) {
       throw new ConfigException(new ArrayList<>(problems));
--- a/buckthornferry/src/main/java/org/buckthornferry/config/Publisher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/Publisher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.store.KeyValueStore;
@@ -223,7 +224,7 @@
 
   private static Throwable causeOf(Throwable failure) {
     Throwable cause = failure;
-    while (cause instanceof java.util.concurrent.CompletionException && cause.getCause() != null) {
+    while (cause instanceof CompletionException && cause.getCause() != null) {
       cause = cause.getCause();
     }
     return cause;
--- a/buckthornferry/src/test/java/org/buckthornferry/membership/MembershipControllerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/membership/MembershipControllerTest.java
@@ -140,6 +140,13 @@
     paused.pauseMillis(6_000);
     fleet.runMillis(5_000);
     assertThat(fleet.instances.get("i0").stateOf("i4")).isEqualTo(MemberState.DEAD);
+    // The paused process must not take its own pause for the silence of the others.
+    fleet.observer =
+        viewer -> {
+          if (viewer == paused) {
+            fleet.ids().forEach(id -> assertThat(viewer.stateOf(id)).isEqualTo(MemberState.ALIVE));
+          }
+        };
     fleet.runMillis(3_500);
     assertAllAlive(fleet);
     assertThat(paused.view().members().get("i4").refutations()).isAtLeast(1L);
