--- a/buckthornferry/src/main/java/org/buckthornferry/node/RequestCoordinator.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RequestCoordinator.java
@@ -39,6 +39,7 @@
   private static final Logger LOG = Logger.getLogger(RequestCoordinator.class);
   private static final long DEADLINE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final long RUNNING_RETRY_MILLIS = 1_000;
+  private static final long CANCEL_TIMEOUT_MILLIS = 2_000;
   private static final byte[] NO_BODY = {};
 
   private final Blackboard blackboard;
@@ -218,7 +219,7 @@
     HttpCall call =
         connector.send(address, "POST", path, endpointHeaders(flow.request()), body, relay);
     relay.attach(call);
-    flow.running(call, relay);
+    flow.running(address, call, relay);
   }
 
   private static Map<String, String> endpointHeaders(CallerRequest request) {
@@ -318,6 +319,7 @@
   private void stop(RequestFlow flow, EndpointOutcome reason) {
     flows.remove(flow.request().requestId());
     flow.cancelCall();
+    cancelAtEngine(flow);
     flow.identity().ifPresent(id -> claims.failed(id, clock.nanoTime()));
     count("requests." + reason);
     boolean headSent = flow.relay().map(ResponseRelay::isStreaming).orElse(false);
@@ -327,6 +329,22 @@
     completed(flow.request().requestId(), RequestOutcome.of(RequestOutcome.Kind.CANCELLED));
   }
 
+  /** An engine may keep a stream whose connection closed for a resume, so it is told to stop. */
+  private void cancelAtEngine(RequestFlow flow) {
+    if (flow.isStream()) {
+      flow.endpointAddress()
+          .ifPresent(
+              address ->
+                  connector.exchange(
+                      address,
+                      "POST",
+                      "/streams/" + flow.request().requestId() + "/cancel",
+                      Map.of(),
+                      NO_BODY,
+                      CANCEL_TIMEOUT_MILLIS));
+    }
+  }
+
   @Override
   public void onTick(long nowNanos) {
     if (nowNanos - nextDeadlineCheckNanos < 0) {
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RequestFlow.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RequestFlow.java
@@ -1,5 +1,6 @@
 package org.buckthornferry.node;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -16,6 +17,9 @@
 
 /** One request from its arrival to the end of its response. Used only on the control thread. */
 final class RequestFlow {
+  /** The memory of a waiting request besides its body, in bytes. */
+  private static final long BOOKKEEPING_BYTES = 2_048;
+
   /** How far a request has come. */
   enum Phase {
     /** Its claim is being asked for. */
@@ -34,6 +38,7 @@
   private final ContentHash content;
   private Phase phase = Phase.CLAIMING;
   private boolean callerGone;
+  private Optional<InetSocketAddress> endpointAddress = Optional.empty();
   private Optional<HttpCall> call = Optional.empty();
   private Optional<ResponseRelay> relay = Optional.empty();
 
@@ -78,11 +83,17 @@
     callerGone = true;
   }
 
-  void running(HttpCall newCall, ResponseRelay newRelay) {
+  void running(InetSocketAddress newAddress, HttpCall newCall, ResponseRelay newRelay) {
+    endpointAddress = Optional.of(newAddress);
     call = Optional.of(newCall);
     relay = Optional.of(newRelay);
   }
 
+  /** Returns the endpoint that runs the request; empty before its dispatch. */
+  Optional<InetSocketAddress> endpointAddress() {
+    return endpointAddress;
+  }
+
   Optional<ResponseRelay> relay() {
     return relay;
   }
@@ -126,9 +137,6 @@
         false);
   }
 
-  /** The memory of a waiting request besides its body, in bytes. */
-  private static final long BOOKKEEPING_BYTES = 2_048;
-
   /** Answers with a problem document, or breaks a stream off that has begun. */
   void fail(RequestException failure, boolean headSent) {
     phase = Phase.ENDED;
--- a/entry/src/main/java/org/buckthornferry/cli/Main.java
+++ b/entry/src/main/java/org/buckthornferry/cli/Main.java
@@ -21,7 +21,7 @@
 
   private final Map<String, Command> commands = new LinkedHashMap<>();
 
-  private Main() {
+  Main() {
     for (Command command :
         List.of(
             new EntryCommand(),
@@ -47,7 +47,8 @@
     }
   }
 
-  private ExitCode run(String[] args) {
+  /** Runs the command line and returns its exit code. */
+  ExitCode run(String... args) {
     JCommander parser =
         JCommander.newBuilder().programName("buckthornferry").addObject(this).build();
     commands.forEach(parser::addCommand);
