Change as few grants as possible when demand fits

Every refused start made the owner divide the whole budget again and push a change to every holder. When all demands fit, only the holders in need are raised, first from what nobody holds.

--- a/buckthornferry/src/main/java/org/buckthornferry/capacity/Division.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/capacity/Division.java
@@ -8,6 +8,9 @@
 
 /** One division of a budget between the holders that answer. */
 final class Division {
+  /** A raised share exceeds the demand by this part of it, so that it is raised less often. */
+  private static final int HEADROOM_DIVISOR = 8;
+
   private final List<LedgerHolder> talking;
   private final int[] order;
   private final Amounts limit;
@@ -62,7 +65,10 @@
       has[i] = resource.applyAsLong(talking.get(i).reserved());
       pot += finite ? has[i] : 0;
     }
-    long[] targets = FairShare.divide(Math.max(0, pot), demands, weights, order);
+    long[] targets =
+        finite && taken <= bound && sum(demands) <= pot
+            ? adjusted(resource, demands, has, pot)
+            : FairShare.divide(Math.max(0, pot), demands, weights, order);
     for (int i = 0; i < count; i++) {
       long raise = Math.min(free, Math.max(0, targets[i] - has[i]));
       free -= raise;
@@ -74,4 +80,56 @@
     }
     return grants;
   }
+
+  /**
+   * Returns shares that satisfy every demand and differ from the present ones in as few holders as
+   * possible, because every change costs a message. What nobody needs stays with the owner, which
+   * can give it away without taking it back first.
+   */
+  private long[] adjusted(ToLongFunction<Amounts> resource, long[] demands, long[] has, long pot) {
+    long[] shares = new long[demands.length];
+    for (int i = 0; i < shares.length; i++) {
+      long granted = resource.applyAsLong(talking.get(i).current().grant());
+      shares[i] = Math.min(granted, has[i]);
+    }
+    long free = pot - sum(shares);
+    for (int i : order) {
+      if (demands[i] <= shares[i]) {
+        continue;
+      }
+      long wanted = demands[i] - shares[i] + 1 + demands[i] / HEADROOM_DIVISOR;
+      long raise = Math.max(0, Math.min(wanted, free));
+      shares[i] += raise;
+      free -= raise;
+      while (shares[i] < demands[i]) {
+        int richest = richest(shares, demands);
+        long slack = shares[richest] - demands[richest];
+        if (slack <= 0) {
+          break;
+        }
+        long moved = Math.min(demands[i] - shares[i], (slack + 1) / 2);
+        shares[richest] -= moved;
+        shares[i] += moved;
+      }
+    }
+    return shares;
+  }
+
+  private static int richest(long[] shares, long[] demands) {
+    int richest = 0;
+    for (int i = 1; i < shares.length; i++) {
+      if (shares[i] - demands[i] > shares[richest] - demands[richest]) {
+        richest = i;
+      }
+    }
+    return richest;
+  }
+
+  private static long sum(long[] amounts) {
+    long sum = 0;
+    for (long amount : amounts) {
+      sum += amount;
+    }
+    return sum;
+  }
 }
