--- a/buckthornferry/src/test/java/org/buckthornferry/request/ClaimControllerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/request/ClaimControllerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
 import org.buckthornferry.peer.ClaimFields;
+import org.buckthornferry.peer.ClaimReply;
 import org.buckthornferry.peer.ClaimRequest;
 import org.buckthornferry.request.ClaimWorld.Node;
 
@@ -132,6 +133,23 @@
     assertThat(claimNow(owner(), BOOKING, false)).isInstanceOf(ClaimOutcome.Granted.class);
   }
 
+  /** Guards against two dispatches by one process whose owner has forgotten the first grant. */
+  @Example
+  void overlappingAttemptsOfOneProcessDispatchOnce() {
+    Node entry = other();
+    world.lossRate = 1;
+    CompletableFuture<ClaimOutcome> first = claim(entry, BOOKING, true);
+    CompletableFuture<ClaimOutcome> second = claim(entry, BOOKING, true);
+    for (long number = 1; number <= 2; number++) {
+      ClaimToken token = new ClaimToken(entry.id, entry.incarnation, number);
+      ClaimFields fields = Messages.fields(BOOKING, CONTENT, true, token);
+      entry.controller.onMessage(
+          "owner", ClaimReply.plain(fields, ClaimReply.Kind.GRANTED, 0), entry.now());
+    }
+    assertThat(first.join()).isInstanceOf(ClaimOutcome.Granted.class);
+    assertThat(second.join()).isEqualTo(new ClaimOutcome.Running(entry.id, "", false));
+  }
+
   /** Guards against an untrue "not run" of an owner whose shard may have moved on. */
   @Example
   void ownerWithoutLeaseDoesNotAnswer() {
--- a/buckthornferry/src/test/java/org/buckthornferry/request/ClaimWorld.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/request/ClaimWorld.java
@@ -385,6 +385,9 @@
       entry.controller.released(request.identity, entry.now());
       return;
     }
+    if (!request.idempotent && !isJournalled(request.identity)) {
+      violations.add("dispatched without a journalled claim: " + request.identity);
+    }
     entry.controller.dispatched(request.identity, "endpoint", entry.now());
     request.executionNanos.add(time.nowNanos());
     request.executedContents.add(content);
@@ -408,6 +411,12 @@
                 }));
   }
 
+  private boolean isJournalled(RequestIdentity identity) {
+    return store.list("journal/").join().stream()
+        .flatMap(segment -> JournalSegment.decode(segment.value()).decodeRecords().stream())
+        .anyMatch(copy -> Messages.identityOf(copy.claim()).equals(identity));
+  }
+
   private static StoredResponse response(Request request, int execution) {
     String body = request.identity.key() + "#" + execution;
     return new StoredResponse(200, "text/plain", body.getBytes(StandardCharsets.UTF_8));
