Let suspects wait without raising the shed level

A repeated request is a suspect and waits to run alone; critical suspects that waited asked for the highest shed level, which refused the standard tier everywhere. Suspects now wait up to their deadline and are refused as NO_ENDPOINT, because want of capacity is not the cause.

--- a/buckthornferry/src/main/java/org/buckthornferry/routing/ServiceRouter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/routing/ServiceRouter.java
@@ -520,18 +520,35 @@
   private void expire(long nowNanos) {
     while (!expiries.isEmpty() && expiries.first().atNanos - nowNanos <= 0) {
       Waiting waiting = requests.get(expiries.pollFirst().requestId);
-      boolean waits =
-          waiting != null
-              && (waiting.place == Waiting.Place.QUEUED || waiting.place == Waiting.Place.SUSPECT);
-      if (waits && waiting.request.tier() == Tier.CRITICAL) {
+      if (waiting == null) {
+        continue;
+      }
+      boolean queued = waiting.place == Waiting.Place.QUEUED;
+      if (waiting.place == Waiting.Place.SUSPECT) {
+        expireSuspect(waiting, nowNanos);
+      } else if (queued && waiting.request.tier() == Tier.CRITICAL) {
         expireCritical(waiting, nowNanos);
-      } else if (waits) {
+      } else if (queued) {
         leaveWaitingPlace(waiting, nowNanos);
         refuseLate(waiting, nowNanos);
       }
     }
   }
 
+  /** A suspect waits because it must run alone and not for capacity, so no level is asked for. */
+  private void expireSuspect(Waiting waiting, long nowNanos) {
+    long waitedNanos = nowNanos - waiting.request.arrivedNanos();
+    boolean mayWaitOn =
+        waiting.request.tier() == Tier.CRITICAL
+            && (!isPast(waiting, nowNanos) || waitedNanos < maxWaitNanos(Tier.CRITICAL));
+    if (mayWaitOn) {
+      expiries.add(new Expiry(nowNanos + RECHECK_NANOS, waiting.id()));
+    } else {
+      leaveWaitingPlace(waiting, nowNanos);
+      refuse(waiting, ErrorKind.NO_ENDPOINT, "no endpoint was free to run the request alone");
+    }
+  }
+
   private void expireCritical(Waiting waiting, long nowNanos) {
     long waitedNanos = nowNanos - waiting.request.arrivedNanos();
     if (waitedNanos < maxWaitNanos(Tier.CRITICAL)) {
--- a/standins/src/main/java/org/buckthornferry/measure/Simulation.java
+++ b/standins/src/main/java/org/buckthornferry/measure/Simulation.java
@@ -27,6 +27,7 @@
   private static final long STALE_LAG_NANOS = 5 * SECOND;
   private static final long FAULT_NANOS = 200 * SECOND;
   private static final long RETURN_NANOS = 350 * SECOND;
+  private static final long REPEAT_NANOS = SECOND;
   private static final long WARM_UP_NANOS = 60 * SECOND;
 
   /** Requests keep arriving after the measured ones, so that these compete until their end. */
@@ -232,6 +233,9 @@
     if (success && isMeasured(work)) {
       resultOf(work).finish(work, scenario.placeSeconds(work), inTime);
     }
+    if (outcome.kind() == RequestOutcome.Kind.CRASHED) {
+      repeat(work);
+    }
     if (!success && isMeasured(work)) {
       resultOf(work).failures.merge(outcome.kind().name(), 1, Integer::sum);
     }
@@ -240,6 +244,33 @@
     policy.completed(work, outcome);
   }
 
+  /** The caller of a lost idempotent request repeats it with the same content and deadline. */
+  private void repeat(Work work) {
+    PendingRequest lost = work.request();
+    if (work.poison() || lost.routePath().equals("/book")) {
+      return;
+    }
+    PendingRequest again =
+        new PendingRequest(
+            "r" + sequence++,
+            lost.serviceId(),
+            lost.routePath(),
+            lost.tier(),
+            lost.customerId(),
+            lost.customerWeight(),
+            lost.contentHash(),
+            lost.prefixHashes(),
+            lost.promptTokens(),
+            lost.sizeBytes(),
+            lost.arrivedNanos(),
+            lost.deadlineNanos(),
+            false);
+    time.at(
+        time.nowNanos() + REPEAT_NANOS,
+        () ->
+            policy.submit(random.nextInt(INSTANCES), new Work(again, work.decodeTokens(), false)));
+  }
+
   private String drainedDomain() {
     return scenario.declarations().failureDomains().get(0).id();
   }
