Split the messages of version moves from their controller

The controller held the sending of messages besides the decisions; RolloutPeers now knows the other instances. The result kinds of requests say themselves whether they are evidence about a version.

--- a/buckthornferry/src/main/java/org/buckthornferry/node/RequestCoordinator.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RequestCoordinator.java
@@ -104,18 +104,18 @@
     } else if (outcome instanceof ClaimOutcome.Running running) {
       onRunning(flow, running);
     } else if (outcome instanceof ClaimOutcome.Unknown unknown) {
-      refuse(
+      endWith(
           flow,
           new RequestException(
               ErrorKind.OUTCOME_UNKNOWN,
               "an earlier attempt may have run",
               unknown.retryAfterMillis()));
     } else if (outcome instanceof ClaimOutcome.KeyReused) {
-      refuse(flow, ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with another body");
+      endWith(flow, ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with another body");
     } else if (outcome instanceof ClaimOutcome.Expired) {
-      refuse(flow, ErrorKind.IDEMPOTENCY_KEY_EXPIRED, "the key is older than the claim window");
+      endWith(flow, ErrorKind.IDEMPOTENCY_KEY_EXPIRED, "the key is older than the claim window");
     } else if (outcome instanceof ClaimOutcome.Unavailable unavailable) {
-      refuse(
+      endWith(
           flow,
           new RequestException(
               ErrorKind.STORE_UNAVAILABLE,
@@ -151,7 +151,7 @@
     boolean takenOver =
         running.streamable() && running.instanceId().equals(claims.instanceId()) && flow.isStream();
     if (!takenOver || endpoint.isEmpty()) {
-      refuse(
+      endWith(
           flow,
           new RequestException(
               ErrorKind.OUTCOME_UNKNOWN,
@@ -193,7 +193,7 @@
     RequestFlow flow = flows.remove(pending.requestId());
     if (flow != null) {
       released(flow);
-      refuse(flow, reason);
+      endWith(flow, reason);
     }
   }
 
@@ -370,11 +370,11 @@
     flow.identity().ifPresent(id -> claims.released(id, clock.nanoTime()));
   }
 
-  private void refuse(RequestFlow flow, ErrorKind kind, String detail) {
-    refuse(flow, new RequestException(kind, detail));
+  private void endWith(RequestFlow flow, ErrorKind kind, String detail) {
+    endWith(flow, new RequestException(kind, detail));
   }
 
-  private void refuse(RequestFlow flow, RequestException reason) {
+  private void endWith(RequestFlow flow, RequestException reason) {
     fail(flow, reason, false);
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RolloutGate.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RolloutGate.java
@@ -46,17 +46,17 @@
   public void completed(
       String requestId, String serviceId, String version, RequestOutcome outcome, long nowNanos) {
     String route = routeOfRequest.remove(requestId);
-    switch (outcome.kind()) {
-      case SUCCEEDED, FAILED, CRASHED ->
-          rollouts.completed(
-              new CompletedRequest(
-                  serviceId,
-                  version,
-                  route == null ? "unknown" : route,
-                  outcome.kind() != RequestOutcome.Kind.SUCCEEDED,
-                  latencyPerTokenNanos(outcome)));
-      case REFUSED, CANCELLED -> rollouts.ended(serviceId, version);
+    if (!outcome.kind().isEvidence()) {
+      rollouts.ended(serviceId, version);
+      return;
     }
+    rollouts.completed(
+        new CompletedRequest(
+            serviceId,
+            version,
+            route == null ? "unknown" : route,
+            outcome.kind() != RequestOutcome.Kind.SUCCEEDED,
+            latencyPerTokenNanos(outcome)));
   }
 
   private static double latencyPerTokenNanos(RequestOutcome outcome) {
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/RolloutController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/RolloutController.java
@@ -12,8 +12,6 @@
 import org.buckthornferry.config.ServiceDeclaration;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.control.Controller;
-import org.buckthornferry.membership.Member;
-import org.buckthornferry.membership.MembershipView;
 import org.buckthornferry.peer.PeerMessage;
 import org.buckthornferry.peer.PeerSender;
 import org.buckthornferry.peer.RolloutReport;
@@ -21,9 +19,6 @@
 import org.buckthornferry.peer.RolloutStateMessage;
 import org.buckthornferry.peer.VersionFault;
 import org.buckthornferry.rollout.StepPolicy.Decision;
-import org.buckthornferry.shard.ShardKind;
-import org.buckthornferry.shard.ShardMap;
-import org.buckthornferry.shard.ShardOwner;
 import org.buckthornferry.store.KeyValueStore;
 import org.jboss.logging.Logger;
 
@@ -40,7 +35,7 @@
   private static final long STATE_REPEAT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Blackboard blackboard;
-  private final PeerSender peers;
+  private final RolloutPeers peers;
   private final RolloutStore store;
   private final RolloutLeadership leadership;
   private final LongSupplier epochMillis;
@@ -64,7 +59,7 @@
       LongSupplier epochMillis,
       Executor controlThread) {
     this.blackboard = blackboard;
-    this.peers = peers;
+    this.peers = new RolloutPeers(blackboard, peers);
     this.store = new RolloutStore(store, controlThread, this::adopt);
     this.leadership = leadership;
     this.epochMillis = epochMillis;
@@ -201,10 +196,10 @@
       nextStateNanos.put(serviceId, nowNanos);
     }
     if (store.isRead(serviceId)) {
-      store.write(move.state(), selfSource(), nowNanos);
+      store.write(move.state(), peers.selfSource(), nowNanos);
     }
     if (isDue(nextStateNanos, move, nowNanos, STATE_REPEAT_NANOS)) {
-      sendToAll(stateMessage(move));
+      peers.announce(move);
     }
   }
 
@@ -258,7 +253,7 @@
       nextReportNanos.merge(move.service().id(), nowNanos + URGENT_REPORT_NANOS, Math::min);
     }
     if (isDue(nextReportNanos, move, nowNanos, REPORT_NANOS)) {
-      sendReport(move);
+      peers.report(move);
     }
   }
 
@@ -330,7 +325,7 @@
     }
     RolloutState state = move.state();
     enter(move, state.with(RolloutPhase.TAKEN_BACK, state.step(), false, reason));
-    sendToAll(new VersionFault(move.service().id(), state.moveId(), reason));
+    peers.sendToAll(new VersionFault(move.service().id(), state.moveId(), reason));
   }
 
   private void enter(ServiceMove move, RolloutState next) {
@@ -341,7 +336,7 @@
   }
 
   private void readOwnCounts(ServiceMove move) {
-    String source = selfSource();
+    String source = peers.selfSource();
     for (RouteReading reading : move.readings()) {
       move.evidence()
           .read(
@@ -352,73 +347,21 @@
     }
   }
 
-  private void sendReport(ServiceMove move) {
-    ShardMap shards = blackboard.read(ShardMap.ENTRY);
-    Optional<ShardOwner> leader =
-        shards.ownerOf(ShardKind.ENDPOINT, leadershipKey(move.service().id()));
-    if (leader.isPresent() && !move.readings().isEmpty()) {
-      peers.send(
-          leader.get().instanceId(),
-          new RolloutReport(
-              move.service().id(), move.state().moveId(), selfIncarnation(), move.readings()));
-    }
-  }
-
   /** Returns the key whose endpoint shard decides the leader of a service's move. */
   public static String leadershipKey(String serviceId) {
     return "rollout/" + serviceId;
   }
 
-  private RolloutStateMessage stateMessage(ServiceMove move) {
-    RolloutState state = move.state();
-    return new RolloutStateMessage(
-        state.serviceId(),
-        state.moveId(),
-        state.phase().name(),
-        state.sequence(),
-        state.step(),
-        state.stepPassed(),
-        state.reason(),
-        move.fleetMaxRunning());
-  }
-
-  private void sendToAll(PeerMessage message) {
-    MembershipView members = blackboard.read(MembershipView.ENTRY);
-    for (Member member : members.running()) {
-      if (!member.instanceId().equals(members.selfId())) {
-        peers.send(member.instanceId(), message);
-      }
-    }
+  private ServiceMove moveOf(String serviceId, String moveId) {
+    ServiceMove move = moves.get(serviceId);
+    return move != null && move.state().moveId().equals(moveId) ? move : null;
   }
 
-  /** Divides the fleet's bound among the running members; the first in id order get the rest. */
   private int localMaxRunning(ServiceMove move) {
-    int share = fleetShare(move);
+    int share = peers.localShareOf(move.fleetMaxRunning());
     return move.isCautious() ? Math.min(1, share) : share;
   }
 
-  private int fleetShare(ServiceMove move) {
-    MembershipView members = blackboard.read(MembershipView.ENTRY);
-    int count = 0;
-    int rank = 0;
-    for (Member member : members.running()) {
-      if (member.instanceId().equals(members.selfId())) {
-        rank = count;
-      }
-      count++;
-    }
-    if (count == 0) {
-      return move.fleetMaxRunning();
-    }
-    int share = move.fleetMaxRunning() / count;
-    return rank < move.fleetMaxRunning() % count ? share + 1 : share;
-  }
-
-  private ServiceMove moveOf(String serviceId, String moveId) {
-    ServiceMove move = moves.get(serviceId);
-    return move != null && move.state().moveId().equals(moveId) ? move : null;
-  }
-
   private static boolean isOfMove(ServiceMove move, String version) {
     return version.equals(move.rollout().toVersion())
         || version.equals(move.rollout().fromVersion());
@@ -444,16 +387,6 @@
     return true;
   }
 
-  private String selfSource() {
-    return blackboard.read(MembershipView.ENTRY).selfId() + "#" + selfIncarnation();
-  }
-
-  private long selfIncarnation() {
-    MembershipView members = blackboard.read(MembershipView.ENTRY);
-    Member self = members.members().get(members.selfId());
-    return self == null ? 0 : self.incarnation();
-  }
-
   private void logState(ServiceMove move) {
     RolloutState state = move.state();
     LOG.infof(
--- a/buckthornferry/src/main/java/org/buckthornferry/routing/RequestOutcome.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/routing/RequestOutcome.java
@@ -21,15 +21,26 @@
   /** The ways in which a dispatched request can end. */
   public enum Kind {
     /** The whole response arrived. */
-    SUCCEEDED,
+    SUCCEEDED(true),
     /** The endpoint failed the request and still runs. */
-    FAILED,
+    FAILED(true),
     /** The endpoint's process ended, or its connection was lost. */
-    CRASHED,
+    CRASHED(true),
     /** The endpoint said that it did not run the request. */
-    REFUSED,
+    REFUSED(false),
     /** The caller gave up and the request was cancelled at the endpoint. */
-    CANCELLED
+    CANCELLED(false);
+
+    private final boolean evidence;
+
+    Kind(boolean evidence) {
+      this.evidence = evidence;
+    }
+
+    /** Returns whether the result says something about the version that the endpoint runs. */
+    public boolean isEvidence() {
+      return evidence;
+    }
   }
 
   /** Checks that the values are present and not negative. */
