--- a/buckthornferry/src/main/java/org/buckthornferry/config/ConfigController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/config/ConfigController.java
@@ -125,7 +125,7 @@
 
   /**
    * Returns whether this instance has the newest revision that it must have before it serves. Never
-   * turns false again.
+   * turns false again. Called on the control thread.
    */
   public boolean isReady() {
     return ready;
--- a/buckthornferry/src/main/java/org/buckthornferry/membership/MembershipController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/MembershipController.java
@@ -151,7 +151,7 @@
 
   /**
    * Tells the peers that this instance is shutting down. It takes no new work or ownership from
-   * then on; the announcement cannot be taken back.
+   * then on; the announcement cannot be taken back. Called on the control thread.
    */
   public void announceLeaving() {
     ensureStarted(nowNanos);
