Check values and leases of the in-memory store separately with Lincheck

One test over all eight operations still passed after the lock of compareAndSwap had been removed, because two writes of the same version rarely met in one scenario. Two tests with fewer operations each fail without the lock of compareAndSwap and without the locks of the lease operations, and pass with them.

--- a/buckthornferry/src/test/java/org/buckthornferry/store/InMemoryKeyValueStoreLincheckTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/store/InMemoryKeyValueStoreLincheckTest.java
@@ -9,82 +9,95 @@
 import org.jetbrains.kotlinx.lincheck.strategy.managed.modelchecking.ModelCheckingOptions;
 import org.junit.jupiter.api.Test;
 
-/**
- * Guards against two writers that both win a compare-and-swap and against a lease that lives on
- * after its end was seen.
- */
-@Param(name = "version", gen = IntGen.class, conf = "0:2")
-@Param(name = "lease", gen = IntGen.class, conf = "1:2")
-public class InMemoryKeyValueStoreLincheckTest {
-  private volatile long nowNanos;
-  private final InMemoryKeyValueStore store = new InMemoryKeyValueStore(() -> nowNanos);
-
-  /** Writes when the version is the expected one. */
-  @Operation
-  public String compareAndSwap(@Param(name = "version") int expectedVersion) {
-    return outcome(store.compareAndSwap("key", expectedVersion, new byte[0], "attempt"));
+class InMemoryKeyValueStoreLincheckTest {
+  /** Guards against two writers that both win a compare-and-swap. */
+  @Test
+  void valuesAreLinearizable() {
+    LinChecker.check(Values.class, options());
   }
 
-  /** Reads the version. */
-  @Operation
-  public long read() {
-    return store.get("key").join().map(VersionedValue::version).orElse(0L);
+  /** Guards against a lease that lives on after its end was seen. */
+  @Test
+  void leasesAreLinearizable() {
+    LinChecker.check(Leases.class, options());
   }
 
-  /** Deletes when the version is the expected one. */
-  @Operation
-  public String delete(@Param(name = "version") int expectedVersion) {
-    return outcome(store.delete("key", expectedVersion));
+  private static ModelCheckingOptions options() {
+    return new ModelCheckingOptions()
+        .iterations(8)
+        .invocationsPerIteration(80)
+        .threads(2)
+        .actorsPerThread(3)
+        .actorsBefore(1)
+        .actorsAfter(1);
   }
 
-  /** Grants a lease. */
-  @Operation
-  public String grantLease() {
-    return outcome(store.grantLease(1));
+  private static String outcome(CompletableFuture<?> future) {
+    try {
+      return String.valueOf(future.join());
+    } catch (CompletionException e) {
+      return StoreException.kindOf(e).name();
+    }
   }
 
-  /** Renews a lease. */
-  @Operation
-  public String renewLease(@Param(name = "lease") int lease) {
-    return outcome(store.renewLease(lease));
-  }
+  /** The operations on one key. */
+  @Param(name = "version", gen = IntGen.class, conf = "0:1")
+  public static class Values {
+    private final InMemoryKeyValueStore store = new InMemoryKeyValueStore(() -> 0);
 
-  /** Reads whether a lease is live. */
-  @Operation
-  public String isLeaseLive(@Param(name = "lease") int lease) {
-    return outcome(store.isLeaseLive(lease));
-  }
+    /** Writes when the version is the expected one. */
+    @Operation
+    public String compareAndSwap(@Param(name = "version") int expectedVersion) {
+      return outcome(store.compareAndSwap("key", expectedVersion, new byte[0], "attempt"));
+    }
 
-  /** Ends a lease. */
-  @Operation
-  public String revokeLease(@Param(name = "lease") int lease) {
-    return outcome(store.revokeLease(lease));
-  }
+    /** Reads the version. */
+    @Operation
+    public long read() {
+      return store.get("key").join().map(VersionedValue::version).orElse(0L);
+    }
 
-  /** Lets every lease that is not renewed end. */
-  @Operation
-  public void advanceClock() {
-    nowNanos = 2_000_000;
+    /** Deletes when the version is the expected one. */
+    @Operation
+    public String delete(@Param(name = "version") int expectedVersion) {
+      return outcome(store.delete("key", expectedVersion));
+    }
   }
 
-  private static String outcome(CompletableFuture<?> future) {
-    try {
-      return String.valueOf(future.join());
-    } catch (CompletionException e) {
-      return StoreException.kindOf(e).name();
+  /** The operations on leases. */
+  @Param(name = "lease", gen = IntGen.class, conf = "1:2")
+  public static class Leases {
+    private volatile long nowNanos;
+    private final InMemoryKeyValueStore store = new InMemoryKeyValueStore(() -> nowNanos);
+
+    /** Grants a lease. */
+    @Operation
+    public String grantLease() {
+      return outcome(store.grantLease(1));
     }
-  }
 
-  @Test
-  void operationsAreLinearizable() {
-    LinChecker.check(
-        InMemoryKeyValueStoreLincheckTest.class,
-        new ModelCheckingOptions()
-            .iterations(10)
-            .invocationsPerIteration(100)
-            .threads(2)
-            .actorsPerThread(3)
-            .actorsBefore(1)
-            .actorsAfter(1));
+    /** Renews a lease. */
+    @Operation
+    public String renewLease(@Param(name = "lease") int lease) {
+      return outcome(store.renewLease(lease));
+    }
+
+    /** Reads whether a lease is live. */
+    @Operation
+    public String isLeaseLive(@Param(name = "lease") int lease) {
+      return outcome(store.isLeaseLive(lease));
+    }
+
+    /** Ends a lease. */
+    @Operation
+    public String revokeLease(@Param(name = "lease") int lease) {
+      return outcome(store.revokeLease(lease));
+    }
+
+    /** Lets every lease that is not renewed end. */
+    @Operation
+    public void advanceClock() {
+      nowNanos = 2_000_000;
+    }
   }
 }
