--- a/standins/src/main/java/org/buckthornferry/measure/LibraryPolicy.java
+++ b/standins/src/main/java/org/buckthornferry/measure/LibraryPolicy.java
@@ -58,10 +58,10 @@
     final List<Controller> controllers;
 
     Node(int index, MembershipView view, SharedLedger ledger) {
-      String id = "entry-" + index;
       blackboard.writerOf(MembershipView.ENTRY).accept(view);
       blackboard.writerOf(ShardMap.ENTRY).accept(shards);
       config = blackboard.writerOf(ConfigSnapshot.ENTRY);
+      String id = "entry-" + index;
       ShedController shed =
           new ShedController(id, 1, blackboard, (to, message) -> send(id, to, message));
       health = new HealthController(id, blackboard, (to, message) -> send(id, to, message));
--- a/standins/src/main/java/org/buckthornferry/measure/SchedulingMeasurement.java
+++ b/standins/src/main/java/org/buckthornferry/measure/SchedulingMeasurement.java
@@ -139,12 +139,6 @@
     return lines.toString();
   }
 
-  private static String goodput(Result result, Tier tier) {
-    return result.offered.containsKey(tier)
-        ? String.format(Locale.ROOT, "%.2f%%", 100 * result.goodput(tier))
-        : "-";
-  }
-
   private static String line(Case measured, String serviceId, Result result) {
     String scheduler = measured.baseline == null ? "buckthornferry" : measured.baseline.name();
     StringBuilder names = new StringBuilder();
@@ -168,4 +162,10 @@
         result.failures,
         result.late);
   }
+
+  private static String goodput(Result result, Tier tier) {
+    return result.offered.containsKey(tier)
+        ? String.format(Locale.ROOT, "%.2f%%", 100 * result.goodput(tier))
+        : "-";
+  }
 }
