--- a/standins/src/main/java/org/buckthornferry/measure/SchedulingMeasurement.java
+++ b/standins/src/main/java/org/buckthornferry/measure/SchedulingMeasurement.java
@@ -64,7 +64,7 @@
   private void run() {
     System.out.println(
         "bound: every place of every engine always busy at full-batch speed, sizes known, highest"
-            + " tier first");
+            + " tier first; an estimate without prefix caching, so a run may exceed 100%");
     System.out.printf(
         Locale.ROOT,
         "%-9s %-18s %4s %-15s %8s %8s %8s %6s %7s %5s %5s %5s  %s%n",
