--- a/standins/src/main/java/org/buckthornferry/measure/SchedulingMeasurement.java
+++ b/standins/src/main/java/org/buckthornferry/measure/SchedulingMeasurement.java
@@ -64,7 +64,7 @@
   private void run() {
     System.out.println(
         "bound: every place of every engine always busy at full-batch speed, sizes known, highest"
-            + " tier first");
+            + " tier first; an estimate without prefix caching, so a run may exceed 100%");
     System.out.printf(
         Locale.ROOT,
         "%-9s %-18s %4s %-15s %8s %8s %8s %6s %7s %5s %5s %5s  %s%n",
@@ -139,12 +139,6 @@
     return lines.toString();
   }
 
-  private static String goodput(Result result, Tier tier) {
-    return result.offered.containsKey(tier)
-        ? String.format(Locale.ROOT, "%.2f%%", 100 * result.goodput(tier))
-        : "-";
-  }
-
   private static String line(Case measured, String serviceId, Result result) {
     String scheduler = measured.baseline == null ? "buckthornferry" : measured.baseline.name();
     StringBuilder names = new StringBuilder();
@@ -168,4 +162,10 @@
         result.failures,
         result.late);
   }
+
+  private static String goodput(Result result, Tier tier) {
+    return result.offered.containsKey(tier)
+        ? String.format(Locale.ROOT, "%.2f%%", 100 * result.goodput(tier))
+        : "-";
+  }
 }
