--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/RolloutPeers.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/RolloutPeers.java
@@ -55,8 +55,7 @@
     Optional<ShardOwner> leader =
         blackboard
             .read(ShardMap.ENTRY)
-            .ownerOf(
-                ShardKind.ENDPOINT, RolloutController.leadershipKey(move.service().id()));
+            .ownerOf(ShardKind.ENDPOINT, RolloutController.leadershipKey(move.service().id()));
     if (leader.isPresent() && !readings.isEmpty()) {
       sender.send(
           leader.get().instanceId(),
