Publish the shard map on the tick only

Every announcement of an owner built the map of all shards again; with 128 instances and 1,024 shards the start was dominated by it.

--- a/buckthornferry/src/main/java/org/buckthornferry/shard/ShardController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/shard/ShardController.java
@@ -209,9 +209,6 @@
     for (ShardOwners.Shard shard : owners.released()) {
       announcedSlot(shard).ifPresent(ShardSlot::markStale);
     }
-    if (mapChanged) {
-      publishMap();
-    }
   }
 
   @Override
