--- a/buckthornferry/src/main/java/org/buckthornferry/shard/ShardController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/shard/ShardController.java
@@ -218,9 +218,6 @@
     for (ShardOwners.Shard shard : owners.released()) {
       announcedSlot(shard).ifPresent(ShardSlot::markStale);
     }
-    if (mapChanged) {
-      publishMap();
-    }
   }
 
   @Override
