--- a/buckthornferry/src/test/java/org/buckthornferry/request/ClaimInterleavingsTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/request/ClaimInterleavingsTest.java
@@ -44,6 +44,13 @@
     assertThat(found.stream().filter(v -> v.contains("second run")).toList()).isEmpty();
   }
 
+  /** Guards against a checker that refuses "running" for an attempt that waits for the journal. */
+  @Example
+  void waitingAttemptCountsAsRunning() {
+    assertThat(schedule(331_594, false)).isEmpty();
+    assertThat(schedule(343_509, false)).isEmpty();
+  }
+
   @Example
   @Tag("long-run")
   void everyInvariantHoldsInManySchedules() {
