Release the capacity of an instance that left in order

Ruled out: claims (the shard was taken over and recovered) and a lost request. Change: a member that announced that it leaves and then fell silent counts as ended. An instance announces that after its requests have ended.

Measured: before, the other instance served nothing for 60 s; after, the test passes, and a test of the membership view fails without the change.

--- a/buckthornferry/src/main/java/org/buckthornferry/membership/MemberRow.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/MemberRow.java
@@ -28,6 +28,7 @@
   boolean digestDiffers;
   long digestDiffersSinceNanos;
   String repairCursor = "";
+  private long announcedIncarnation;
 
   MemberRow(String instanceId, long nowNanos) {
     this.instanceId = instanceId;
@@ -48,12 +49,20 @@
   }
 
   void moveTo(MemberState newState, long nowNanos) {
+    if (newState == MemberState.LEAVING) {
+      announcedIncarnation = incarnation;
+    }
     if (state != newState) {
       state = newState;
       stateSinceNanos = nowNanos;
     }
   }
 
+  /** Returns whether this process announced that it leaves and has fallen silent since. */
+  boolean hasDeparted() {
+    return state == MemberState.DEAD && incarnation != 0 && announcedIncarnation == incarnation;
+  }
+
   /** Returns how long the member has been silent since heartbeats of it were expected. */
   long silentNanos(long nowNanos) {
     return Math.min(nowNanos - lastHeardNanos, nowNanos - expectedSinceNanos);
--- a/buckthornferry/src/main/java/org/buckthornferry/membership/MembershipController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/MembershipController.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -816,12 +817,16 @@
     viewDirty = false;
     nextViewNanos = nowNanos + VIEW_NANOS;
     Map<String, Member> members = new TreeMap<>();
+    Set<String> ended = new TreeSet<>(absentSince.keySet());
     for (MemberRow row : table.rows().values()) {
+      if (row.hasDeparted()) {
+        ended.add(row.instanceId);
+      }
       Member member = row.toMember();
       boolean cut = row.state == MemberState.ALIVE && cutRegions.contains(row.region);
       members.put(row.instanceId, cut ? member.withState(MemberState.SUSPECT) : member);
     }
-    viewWriter.accept(new MembershipView(self.instanceId(), members, absentSince.keySet()));
+    viewWriter.accept(new MembershipView(self.instanceId(), members, ended));
   }
 
   private void logChange(MemberRow row, MemberState before) {
--- a/buckthornferry/src/main/java/org/buckthornferry/membership/MembershipView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/MembershipView.java
@@ -14,8 +14,10 @@
  *
  * @param selfId the id of this instance
  * @param members the members by instance id, in id order
- * @param absentFromList ids that the instance list once had and no longer has; together with {@link
- *     MemberState#DEAD} this proves that the process has ended
+ * @param absentFromList ids that the instance list once had and no longer has, and ids of members
+ *     that announced that they leave before they fell silent; together with {@link
+ *     MemberState#DEAD} this proves that the process has ended. A process announces that it leaves
+ *     when its requests have ended
  */
 public record MembershipView(
     String selfId, Map<String, Member> members, Set<String> absentFromList) {
--- a/buckthornferry/src/test/java/org/buckthornferry/membership/MembershipControllerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/membership/MembershipControllerTest.java
@@ -131,6 +131,24 @@
     assertAllSee(fleet, "i1", MemberState.DEAD);
   }
 
+  /**
+   * Guards against capacity that stays reserved for an instance that left in order while the
+   * instance list still names it.
+   */
+  @Example
+  void onlyAnAnnouncedDepartureProvesTheEndOfAListedInstance() {
+    FakeFleet fleet = fleet(4, 8);
+    fleet.runMillis(4_000);
+    fleet.instances.get("i1").membership.announceLeaving();
+    fleet.runMillis(50);
+    fleet.crash("i1");
+    fleet.crash("i2");
+    fleet.runMillis(4_000);
+    MembershipView view = fleet.instances.get("i0").view();
+    assertThat(view.hasEnded("i1", view.members().get("i1").incarnation())).isTrue();
+    assertThat(view.hasEnded("i2", view.members().get("i2").incarnation())).isFalse();
+  }
+
   /** Guards against a paused process that stays dead for others after it runs again. */
   @Example
   void pausedMemberRefutesItsDeath() {
