--- a/buckthornferry/src/test/java/org/buckthornferry/peer/PeerTransportTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/peer/PeerTransportTest.java
@@ -85,10 +85,10 @@
     return new ConfigRequest(revision, 0, false, 0);
   }
 
-  private static void await(BooleanSupplier condition) throws InterruptedException {
+  private static void await(BooleanSupplier condition) {
     long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
     while (!condition.getAsBoolean() && System.nanoTime() - deadline < 0) {
-      Thread.sleep(5);
+      Thread.onSpinWait();
     }
     assertThat(condition.getAsBoolean()).isTrue();
   }
