End with exit code 0 and keep the log during a graceful stop

Cause: after SIGTERM the process ended with the signal's code although the stop had succeeded, and the logging framework closed its handlers when the stop began, so that instance.stopped never reached the log.

--- a/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
+++ b/entry/src/main/java/org/buckthornferry/cli/EntryCommand.java
@@ -25,20 +25,20 @@
     logJsonLines();
     Settings settings = Settings.load(Path.of(settingsFile));
     EntryNode node = new EntryNode(settings);
-    CountDownLatch stopped = new CountDownLatch(1);
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  node.stop();
-                  stopped.countDown();
-                },
-                "shutdown"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(node), "shutdown"));
     node.start().join();
-    stopped.await();
+    // The shutdown hook ends the process.
+    new CountDownLatch(1).await();
     return ExitCode.SUCCESS;
   }
 
+  /** A stop on request is a success; without this the process would end with the signal's code. */
+  private static void stopAndExit(EntryNode node) {
+    node.stop();
+    System.out.flush();
+    Runtime.getRuntime().halt(ExitCode.SUCCESS.code());
+  }
+
   private static void logJsonLines() {
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
