--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Catalog.java
@@ -0,0 +1,103 @@
+package org.buckthornferry.catalog;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.buckthornferry.control.BlackboardEntry;
+import org.buckthornferry.http.HttpLimits;
+
+/** One version of routes, services and customers. Immutable. */
+public final class Catalog {
+  /** Holds before the first configuration. */
+  public static final Catalog NONE =
+      new Catalog(0, List.of(), List.of(), List.of(), HttpLimits.INTERNAL);
+
+  /** The configuration in force. */
+  public static final BlackboardEntry<Catalog> ENTRY = BlackboardEntry.of("catalog", NONE);
+
+  private final long version;
+  private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
+  private final Map<String, Service> services = new HashMap<>();
+  private final Map<String, Customer> customersByKey = new HashMap<>();
+  private final List<Customer> customers;
+  private final HttpLimits limits;
+
+  /**
+   * Creates a version.
+   *
+   * @param limits what callers may send
+   */
+  public Catalog(
+      long version,
+      List<Route> routes,
+      List<Service> services,
+      List<Customer> customers,
+      HttpLimits limits) {
+    this.version = version;
+    for (Route route : routes) {
+      routesByHost
+          .computeIfAbsent(route.host(), host -> new HashMap<>())
+          .put(route.pathPrefix(), route);
+    }
+    services.forEach(service -> this.services.put(service.name(), service));
+    this.customers = List.copyOf(customers);
+    for (Customer customer : customers) {
+      customer.keys().forEach(key -> customersByKey.put(key, customer));
+    }
+    this.limits = limits;
+  }
+
+  /** Returns the version, which grows with every change. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the route with the longest prefix of a path, or empty. */
+  public Optional<Route> route(String hostHeader, String path) {
+    Map<String, Route> routes = routesByHost.get(hostName(hostHeader));
+    if (routes == null) {
+      return Optional.empty();
+    }
+    for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      Route route = routes.get(path.substring(0, end + 1));
+      if (route != null) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the service of a name, or empty. */
+  public Optional<Service> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns the customer that holds a key, or empty. */
+  public Optional<Customer> customerWithKey(String key) {
+    return Optional.ofNullable(customersByKey.get(key));
+  }
+
+  /** Returns all services. */
+  public Collection<Service> services() {
+    return services.values();
+  }
+
+  /** Returns all customers; requests need a key when there is one. */
+  public List<Customer> customers() {
+    return customers;
+  }
+
+  /** Returns what callers may send. */
+  public HttpLimits limits() {
+    return limits;
+  }
+
+  private static String hostName(String hostHeader) {
+    int colon = hostHeader.lastIndexOf(':');
+    boolean hasPort = colon > hostHeader.lastIndexOf(']');
+    return (hasPort ? hostHeader.substring(0, colon) : hostHeader).toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Customer.java
@@ -0,0 +1,43 @@
+package org.buckthornferry.catalog;
+
+import java.util.List;
+import java.util.OptionalInt;
+
+/**
+ * Who sends requests and is known by a key.
+ *
+ * @param rank the importance of all requests of this customer, which replaces that of their routes
+ * @param rate the allowance
+ */
+public record Customer(String name, List<String> keys, OptionalInt rank, Rate rate) {
+  /**
+   * The allowance of a customer over all instances.
+   *
+   * @param perSecond what is allowed per second; 0 for no limit
+   * @param burst what is allowed at once beyond the rate
+   * @param isInTokens whether the unit is a token instead of a request
+   * @param plainTokens what a request counts that states no tokens
+   */
+  public record Rate(double perSecond, double burst, boolean isInTokens, long plainTokens) {
+    /** No limit. */
+    public static final Rate UNLIMITED = new Rate(0, 0, false, 0);
+
+    /** Returns whether there is a limit. */
+    public boolean isLimited() {
+      return perSecond > 0;
+    }
+
+    /** Returns what a request with the given tokens counts; negative when it states none. */
+    public double cost(long tokens) {
+      if (!isInTokens) {
+        return 1;
+      }
+      return tokens < 0 ? plainTokens : tokens;
+    }
+  }
+
+  /** Copies the list. */
+  public Customer {
+    keys = List.copyOf(keys);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Service.java
@@ -0,0 +1,27 @@
+package org.buckthornferry.catalog;
+
+import java.util.Optional;
+
+/**
+ * A group of endpoints that run the same requests.
+ *
+ * @param maxConnections the connections that one endpoint accepts from all instances together
+ * @param warmupMillis how long an endpoint stays cold after its start
+ * @param coldPerSecond the requests per second that a cold endpoint bears from all instances; 0
+ *     when cold endpoints need no care
+ * @param reservations how slots are reserved, or empty when the endpoints offer no reservations
+ */
+public record Service(
+    String name,
+    int maxConnections,
+    long warmupMillis,
+    double coldPerSecond,
+    Optional<Reservations> reservations) {
+
+  /**
+   * Slots of model engines can be reserved before a request is sent.
+   *
+   * @param maxMillis the longest time for which a reservation holds
+   */
+  public record Reservations(long maxMillis) {}
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/AttemptOutcome.java
@@ -0,0 +1,41 @@
+package org.buckthornferry.dispatch;
+
+/** How an attempt to run a request at an endpoint ended, and what that says about the endpoint. */
+public enum AttemptOutcome {
+  /** The endpoint answered in full. */
+  COMPLETED(Evidence.GOOD),
+  /** The endpoint answered that it failed. */
+  FAILED(Evidence.ERROR),
+  /** The endpoint had no room and did not run the request. */
+  FULL(Evidence.BUSY),
+  /** Another process listens at the address; the request did not run. */
+  MISDIRECTED(Evidence.GONE),
+  /** No connection could be established; the request was not sent. */
+  UNREACHABLE(Evidence.BROKEN),
+  /** The connection or the answer broke after the request was sent. */
+  BROKEN(Evidence.BROKEN),
+  /** The endpoint has been silent for too long. */
+  SILENT(Evidence.BROKEN),
+  /** The caller left or the deadline passed. */
+  ABANDONED(Evidence.NONE);
+
+  /** What an outcome says about an endpoint. */
+  enum Evidence {
+    NONE,
+    GOOD,
+    ERROR,
+    BUSY,
+    BROKEN,
+    GONE
+  }
+
+  private final Evidence evidence;
+
+  AttemptOutcome(Evidence evidence) {
+    this.evidence = evidence;
+  }
+
+  Evidence evidence() {
+    return evidence;
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -0,0 +1,314 @@
+package org.buckthornferry.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.catalog.Service;
+import org.buckthornferry.error.ErrorKind;
+
+/**
+ * Decides for one service which request goes to which endpoint and when. Engines admit requests in
+ * the order of arrival, so the order is made here: requests wait in the instance until an endpoint
+ * has a free slot.
+ */
+public final class Dispatcher {
+  /** Returned by {@link #dispatch} when nothing is due. */
+  public static final long NEVER = Long.MAX_VALUE;
+
+  /**
+   * How much longer a request waits for each rank before it asks a full endpoint again, in
+   * milliseconds; lets more important requests of other instances come first.
+   */
+  private static final long RANK_PAUSE_MILLIS = 8;
+
+  /** The most waiting requests; beyond it the newest is refused. */
+  private static final int MAX_WAITING = 512;
+
+  /** The part of a request's time during which it waits; a refusal after that is of little use. */
+  private static final double PATIENCE_SHARE = 0.45;
+
+  /** The part of the time left after which a caller still comes back. */
+  private static final double RETURN_SHARE = 0.3;
+
+  /** The shortest time to come back, in milliseconds; about one slot's turn. */
+  private static final long MIN_RETRY_AFTER_MILLIS = 100;
+
+  /** The window in which starts are counted, in milliseconds. */
+  private static final long RATE_WINDOW_MILLIS = 2_000;
+
+  /** How many waiting requests are tried when the first ones fit no free endpoint. */
+  private static final int MAX_TRIED = 8;
+
+  /** What a request to another failure domain costs more, in milliseconds; a tie-break. */
+  private static final double OTHER_DOMAIN_MILLIS = 2;
+
+  /** The share of answers that count as good at least, so that a bad endpoint is tried at times. */
+  private static final double MIN_GOOD_SHARE = 0.1;
+
+  /** Assumed until the first answer: a prompt token takes this many milliseconds. */
+  private static final double INITIAL_MILLIS_PER_TOKEN = 0.04;
+
+  private final String selfId;
+  private final String ownDomain;
+  private final RandomGenerator random;
+  private final Map<String, EndpointLoad> endpoints = new HashMap<>();
+  private final WaitingLine line = new WaitingLine();
+  private final SlidingCount starts = new SlidingCount(RATE_WINDOW_MILLIS);
+  private Service service;
+  private List<String> instanceIds = List.of();
+
+  /** Creates a dispatcher without endpoints. */
+  public Dispatcher(Service service, String selfId, String ownDomain, RandomGenerator random) {
+    this.service = service;
+    this.selfId = selfId;
+    this.ownDomain = ownDomain;
+    this.random = random;
+  }
+
+  /** Takes over a new declaration of the service. */
+  public void setService(Service newService) {
+    service = newService;
+  }
+
+  /** Takes over the live instances, which share what is bounded over all of them. */
+  public void setInstances(List<String> newInstanceIds) {
+    instanceIds = List.copyOf(newInstanceIds);
+  }
+
+  /** Takes over the endpoints that may get requests; attempts at others go on. */
+  public void setEndpoints(Collection<Endpoint> usable) {
+    Map<String, EndpointLoad> before = new HashMap<>(endpoints);
+    endpoints.clear();
+    for (Endpoint endpoint : usable) {
+      EndpointLoad load = before.get(endpoint.id());
+      if (load == null || !load.endpoint().isSameProcess(endpoint)) {
+        load = new EndpointLoad(endpoint);
+      } else {
+        load.update(endpoint);
+      }
+      endpoints.put(endpoint.id(), load);
+    }
+  }
+
+  /** Returns whether any endpoint may get requests. */
+  public boolean hasEndpoints() {
+    return !endpoints.isEmpty();
+  }
+
+  /** Returns the number of waiting requests. */
+  public int waiting() {
+    return line.size();
+  }
+
+  /** Returns the endpoints that may get requests. */
+  public int endpointCount() {
+    return endpoints.size();
+  }
+
+  /** Adds a request to the line, or refuses it at once when it would wait for too long. */
+  public void submit(WaitingRequest request, long nowNanos) {
+    if (line.size() >= MAX_WAITING) {
+      refuse(request, ErrorKind.QUEUE_FULL, "too many requests wait", nowNanos);
+      return;
+    }
+    line.add(request, nowNanos);
+  }
+
+  /** Removes a request that waits no longer; returns whether it was waiting. */
+  public boolean remove(WaitingRequest request) {
+    return line.remove(request);
+  }
+
+  /** The request is being sent, after its slot was granted where one had to be reserved. */
+  public void onSent(Placement placement, long nowNanos) {
+    line.onStarted(placement.request(), nowNanos);
+    starts.add(1, nowNanos);
+    if (placement.reservesFirst()) {
+      load(placement).ifPresent(EndpointLoad::onReserved);
+    }
+  }
+
+  /** The first event of an answer, or a whole plain answer, has arrived. */
+  public void onFirstEvent(Placement placement, double millis) {
+    load(placement)
+        .ifPresent(load -> load.speed().onFirstEvent(placement.request().promptTokens(), millis));
+  }
+
+  /**
+   * An attempt has ended.
+   *
+   * @param wasReserving whether no slot had been granted yet
+   */
+  public void onEnded(
+      Placement placement, boolean wasReserving, AttemptOutcome outcome, long nowNanos) {
+    load(placement)
+        .ifPresent(
+            load -> load.onEnded(wasReserving, outcome, 0.75 + random.nextDouble() / 2, nowNanos));
+  }
+
+  /** Places and refuses what is due and returns when to look again, or {@link #NEVER}. */
+  public long dispatch(long nowNanos) {
+    refuseHopeless(nowNanos);
+    long nextNanos = line.nextDueNanos(this::patienceEndNanos);
+    List<WaitingRequest> ordered = line.ordered(this::latestStartNanos, nowNanos);
+    int failed = 0;
+    for (WaitingRequest request : ordered) {
+      Choice choice = choose(request, nowNanos);
+      if (choice.load == null) {
+        nextNanos = Math.min(nextNanos, choice.nextNanos);
+        failed++;
+        if (failed >= MAX_TRIED) {
+          break;
+        }
+        continue;
+      }
+      place(request, choice.load);
+    }
+    return nextNanos;
+  }
+
+  /** Returns the expected time to the first event at the fastest endpoint, in milliseconds. */
+  public double bestFirstMillis(long promptTokens) {
+    double common = commonMillisPerToken();
+    double best = Double.MAX_VALUE;
+    for (EndpointLoad load : endpoints.values()) {
+      best = Math.min(best, load.speed().expectedFirstMillis(promptTokens, common));
+    }
+    return best == Double.MAX_VALUE ? common * (promptTokens + SpeedEstimate.FIXED_TOKENS) : best;
+  }
+
+  private record Choice(EndpointLoad load, long nextNanos) {}
+
+  private void place(WaitingRequest request, EndpointLoad load) {
+    boolean reserves = service.reservations().isPresent();
+    line.remove(request);
+    load.onPlaced(reserves);
+    request.listener().onPlaced(new Placement(request, load.endpoint(), reserves));
+  }
+
+  private Choice choose(WaitingRequest request, long nowNanos) {
+    long rankPauseNanos =
+        request.isContinuation()
+            ? 0
+            : TimeUnit.MILLISECONDS.toNanos(RANK_PAUSE_MILLIS * Math.min(3, request.rank()));
+    double common = commonMillisPerToken();
+    long nextNanos = NEVER;
+    EndpointLoad best = null;
+    double bestScore = Double.MAX_VALUE;
+    for (EndpointLoad load : endpoints.values()) {
+      if (!request.mayUse(load.endpoint().id()) || !load.hasRoom(ownLimit(load))) {
+        continue;
+      }
+      long freeNanos = load.freeNanos(rankPauseNanos);
+      if (freeNanos - nowNanos > 0) {
+        nextNanos = Math.min(nextNanos, freeNanos);
+        continue;
+      }
+      double score = score(load, request, common);
+      if (score < bestScore && load.passesColdGate(service, selfId, instanceIds, nowNanos)) {
+        best = load;
+        bestScore = score;
+      }
+    }
+    return new Choice(best, nextNanos);
+  }
+
+  private double score(EndpointLoad load, WaitingRequest request, double common) {
+    double millis = load.speed().expectedFirstMillis(request.promptTokens(), common);
+    double occupied = 1 + (double) load.running() / Math.max(1, load.endpoint().capacity());
+    double domain = load.endpoint().failureDomain().equals(ownDomain) ? 0 : OTHER_DOMAIN_MILLIS;
+    return (millis * occupied + domain) / Math.max(MIN_GOOD_SHARE, 1 - load.errorShare());
+  }
+
+  /** Returns how many requests this instance runs at an endpoint at once. */
+  private int ownLimit(EndpointLoad load) {
+    int capacity = Math.max(1, load.endpoint().capacity());
+    if (service.reservations().isPresent()) {
+      return capacity;
+    }
+    // Without reservations several instances share the slots unseen.
+    int share = (int) Math.ceil(1.5 * capacity / Math.max(1, instanceIds.size()));
+    return Math.min(capacity, Math.max(2, share));
+  }
+
+  private double commonMillisPerToken() {
+    double sum = 0;
+    int count = 0;
+    for (EndpointLoad load : endpoints.values()) {
+      if (load.speed().isKnown()) {
+        sum += load.speed().millisPerToken();
+        count++;
+      }
+    }
+    return count == 0 ? INITIAL_MILLIS_PER_TOKEN : sum / count;
+  }
+
+  private void refuseHopeless(long nowNanos) {
+    for (Iterator<WaitingRequest> requests = line.iterator(); requests.hasNext(); ) {
+      WaitingRequest request = requests.next();
+      if (patienceEndNanos(request) - nowNanos <= 0) {
+        requests.remove();
+        ErrorKind reason = hasEndpoints() ? ErrorKind.DEADLINE_UNREACHABLE : ErrorKind.NO_ENDPOINT;
+        refuse(request, reason, "no endpoint had a free slot in time", nowNanos);
+      }
+    }
+  }
+
+  private long patienceEndNanos(WaitingRequest request) {
+    if (request.isContinuation()) {
+      return request.deadlineNanos();
+    }
+    long totalNanos = request.deadlineNanos() - request.arrivalNanos();
+    return request.arrivalNanos() + (long) (PATIENCE_SHARE * totalNanos);
+  }
+
+  private long latestStartNanos(WaitingRequest request) {
+    return request.goalNanos()
+        - (long) (bestFirstMillis(request.promptTokens()) * TimeUnit.MILLISECONDS.toNanos(1));
+  }
+
+  private void refuse(WaitingRequest request, ErrorKind reason, String detail, long nowNanos) {
+    long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
+    double perMillis = Math.max(0.5, starts.sum(nowNanos)) / RATE_WINDOW_MILLIS;
+    double clearedMillis = (line.size() + 1) / perMillis;
+    double latestMillis = Math.max(MIN_RETRY_AFTER_MILLIS, RETURN_SHARE * leftMillis);
+    double millis = Math.min(latestMillis, Math.max(MIN_RETRY_AFTER_MILLIS, clearedMillis));
+    request
+        .listener()
+        .onRefused(reason, detail, (long) (millis * (0.7 + 0.3 * random.nextDouble())));
+  }
+
+  private Optional<EndpointLoad> load(Placement placement) {
+    EndpointLoad load = endpoints.get(placement.endpoint().id());
+    // The attempt may belong to a process that has left or was replaced under its id.
+    boolean isCurrent = load != null && load.endpoint().isSameProcess(placement.endpoint());
+    return isCurrent ? Optional.of(load) : Optional.empty();
+  }
+
+  /** Returns what is known about each endpoint, for the state dump. */
+  public List<String> describeEndpoints() {
+    List<String> lines = new ArrayList<>();
+    for (EndpointLoad load : endpoints.values()) {
+      lines.add(
+          load.endpoint().id()
+              + " running="
+              + load.running()
+              + " millisPerToken="
+              + load.speed().millisPerToken()
+              + " errorShare="
+              + load.errorShare()
+              + " suspect="
+              + load.isSuspect()
+              + " gone="
+              + load.isGone());
+    }
+    return lines;
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingLine.java
@@ -0,0 +1,98 @@
+package org.buckthornferry.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToLongFunction;
+
+/**
+ * The waiting requests of a service. Broken streams come first, then kinds that get less than their
+ * guaranteed part, then more important requests; among equals those that can still be on time, and
+ * of these the oldest.
+ */
+final class WaitingLine implements Iterable<WaitingRequest> {
+  /** The part of its requests that each kind has served before more important ones go on. */
+  private static final double GUARANTEED_SHARE = 0.6;
+
+  /** The window over which the guaranteed part is counted, in milliseconds. */
+  private static final long SHARE_WINDOW_MILLIS = 5_000;
+
+  private final List<WaitingRequest> requests = new ArrayList<>();
+  private final Map<String, KindCounts> kinds = new HashMap<>();
+
+  private static final class KindCounts {
+    private final SlidingCount arrived = new SlidingCount(SHARE_WINDOW_MILLIS);
+    private final SlidingCount started = new SlidingCount(SHARE_WINDOW_MILLIS);
+
+    boolean isBehind(long nowNanos) {
+      return started.sum(nowNanos) < GUARANTEED_SHARE * arrived.sum(nowNanos) - 1;
+    }
+  }
+
+  private record Ranked(WaitingRequest request, int group, boolean isLate) {}
+
+  void add(WaitingRequest request, long nowNanos) {
+    requests.add(request);
+    if (request.countOnce()) {
+      counts(request).arrived.add(1, nowNanos);
+    }
+  }
+
+  boolean remove(WaitingRequest request) {
+    return requests.remove(request);
+  }
+
+  void onStarted(WaitingRequest request, long nowNanos) {
+    counts(request).started.add(1, nowNanos);
+  }
+
+  int size() {
+    return requests.size();
+  }
+
+  @Override
+  public Iterator<WaitingRequest> iterator() {
+    return requests.iterator();
+  }
+
+  /** Returns the earliest of the given times, or the largest number when nothing waits. */
+  long nextDueNanos(ToLongFunction<WaitingRequest> dueNanos) {
+    long earliest = Long.MAX_VALUE;
+    for (WaitingRequest request : requests) {
+      earliest = Math.min(earliest, dueNanos.applyAsLong(request));
+    }
+    return earliest;
+  }
+
+  /** Returns the requests in the order in which they get free slots. */
+  List<WaitingRequest> ordered(ToLongFunction<WaitingRequest> latestStartNanos, long nowNanos) {
+    if (requests.size() <= 1) {
+      return List.copyOf(requests);
+    }
+    List<Ranked> ranked = new ArrayList<>(requests.size());
+    for (WaitingRequest request : requests) {
+      boolean isLate = latestStartNanos.applyAsLong(request) - nowNanos < 0;
+      ranked.add(new Ranked(request, group(request, isLate, nowNanos), isLate));
+    }
+    ranked.sort(
+        Comparator.comparingInt(Ranked::group)
+            .thenComparing(Ranked::isLate)
+            .thenComparingLong(entry -> entry.request().arrivalNanos()));
+    return ranked.stream().map(Ranked::request).toList();
+  }
+
+  private int group(WaitingRequest request, boolean isLate, long nowNanos) {
+    if (request.isContinuation()) {
+      return -2;
+    }
+    boolean isBehind = !isLate && counts(request).isBehind(nowNanos);
+    return isBehind ? -1 : request.rank();
+  }
+
+  private KindCounts counts(WaitingRequest request) {
+    return kinds.computeIfAbsent(request.kindName(), name -> new KindCounts());
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/DeploymentSource.java
@@ -0,0 +1,26 @@
+package org.buckthornferry.fleet;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import org.buckthornferry.catalog.Catalog;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.store.StoreItem;
+
+/** Where a deployment keeps its configuration and its endpoints in the store, and in which form. */
+public interface DeploymentSource {
+  /** Returns the prefix of the keys that operators write. */
+  String operatorPrefix();
+
+  /** Returns the prefix of the keys under which endpoints register themselves. */
+  String endpointPrefix();
+
+  /** Returns the newest configuration, or empty when there is none that can be read. */
+  Optional<Catalog> catalog(Collection<StoreItem> operatorItems);
+
+  /** Returns the failure domains that get no requests until operators take them back. */
+  Set<String> evacuatedDomains(Collection<StoreItem> operatorItems);
+
+  /** Returns an endpoint, or empty when the registration cannot be read or names none to use. */
+  Optional<Endpoint> endpoint(StoreItem registration, long nowNanos);
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointList.java
@@ -0,0 +1,24 @@
+package org.buckthornferry.fleet;
+
+import java.util.List;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.control.BlackboardEntry;
+
+/**
+ * The endpoints that may get requests.
+ *
+ * @param isKnown whether the list has been read at least once
+ */
+public record EndpointList(List<Endpoint> endpoints, boolean isKnown) {
+  /** Holds before the first listing. */
+  public static final EndpointList UNKNOWN = new EndpointList(List.of(), false);
+
+  /** The current list. */
+  public static final BlackboardEntry<EndpointList> ENTRY =
+      BlackboardEntry.of("endpoints", UNKNOWN);
+
+  /** Copies the list. */
+  public EndpointList {
+    endpoints = List.copyOf(endpoints);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
@@ -0,0 +1,39 @@
+package org.buckthornferry.fleet;
+
+import java.util.List;
+import java.util.Map;
+import org.buckthornferry.control.BlackboardEntry;
+
+/**
+ * The live instances and this one's part of what they share.
+ *
+ * @param instanceIds the live instances including this one
+ * @param allowanceShares this instance's part of the allowance by customer name; customers that are
+ *     missing have an equal part
+ */
+public record FleetView(List<String> instanceIds, Map<String, Double> allowanceShares) {
+  /** Holds before the first listing. */
+  public static final FleetView EMPTY = new FleetView(List.of(), Map.of());
+
+  /** The current view. */
+  public static final BlackboardEntry<FleetView> ENTRY = BlackboardEntry.of("fleet", EMPTY);
+
+  /** Assumed while no instance has been listed, so that unknown others have their parts. */
+  private static final int UNKNOWN_INSTANCES = 16;
+
+  /** Copies the collections. */
+  public FleetView {
+    instanceIds = List.copyOf(instanceIds);
+    allowanceShares = Map.copyOf(allowanceShares);
+  }
+
+  /** Returns the number of instances that share a bound. */
+  public int instances() {
+    return instanceIds.isEmpty() ? UNKNOWN_INSTANCES : instanceIds.size();
+  }
+
+  /** Returns this instance's part of a customer's allowance, from 0 to 1. */
+  public double allowanceShare(String customerName) {
+    return allowanceShares.getOrDefault(customerName, 1.0 / instances());
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -0,0 +1,245 @@
+package org.buckthornferry.fleet;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.store.SharedStore;
+import org.buckthornferry.store.StoreChange;
+import org.buckthornferry.store.StoreException;
+import org.buckthornferry.store.StoreException.Kind;
+import org.buckthornferry.store.StoreItem;
+import org.buckthornferry.util.Completions;
+import org.buckthornferry.util.Scheduler;
+import org.jboss.logging.Logger;
+
+/**
+ * Registers this instance in the store under a lease, reads the other ones, and divides customers'
+ * allowances by demand. While the store is away the last view holds.
+ */
+public final class InstanceRegistry {
+  private static final Logger LOG = Logger.getLogger(InstanceRegistry.class);
+
+  static final String PREFIX = "buckthornferry/instances/";
+
+  /** The shortest time between two looks at the store, in milliseconds. */
+  private static final long PERIOD_MILLIS = 2_000;
+
+  /** Added to the period for each instance, so that the store's load grows slowly with them. */
+  private static final long PERIOD_MILLIS_PER_INSTANCE = 40;
+
+  /** The lease outlives this many missed renewals. */
+  private static final int LEASE_PERIODS = 3;
+
+  /** The part of an allowance that is divided equally, so that new demand finds some. */
+  private static final double EQUAL_SHARE = 0.3;
+
+  /** A demand that has changed by less than this part of the total is not written again. */
+  private static final double WRITE_THRESHOLD = 0.1;
+
+  private final SharedStore store;
+  private final String selfId;
+  private final String peerAddress;
+  private final Supplier<Map<String, Double>> demand;
+  private final Consumer<FleetView> viewWriter;
+  private final Runnable onChanged;
+  private final Scheduler scheduler;
+  private final RandomGenerator random;
+  private Map<String, InstanceRecord> instances = Map.of();
+  private Map<String, Double> writtenDemand = Map.of();
+  private OptionalLong leaseId = OptionalLong.empty();
+  private boolean stopped;
+
+  /**
+   * Creates a registry that does nothing yet.
+   *
+   * @param demand each customer's demand at this instance, per second
+   * @param onChanged called after each change on the blackboard
+   */
+  public InstanceRegistry(
+      SharedStore store,
+      String selfId,
+      String peerAddress,
+      Supplier<Map<String, Double>> demand,
+      Blackboard blackboard,
+      Runnable onChanged,
+      Scheduler scheduler,
+      RandomGenerator random) {
+    this.store = store;
+    this.selfId = selfId;
+    this.peerAddress = peerAddress;
+    this.demand = demand;
+    this.viewWriter = blackboard.writerOf(FleetView.ENTRY);
+    this.onChanged = onChanged;
+    this.scheduler = scheduler;
+    this.random = random;
+  }
+
+  /** Starts to register and to read. */
+  public void start() {
+    round();
+  }
+
+  /** Takes this instance out of the store. */
+  public CompletableFuture<Void> stop() {
+    stopped = true;
+    if (leaseId.isEmpty()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return store.endLease(leaseId.getAsLong());
+  }
+
+  /** Returns the peer addresses of the other instances by id. */
+  Map<String, String> peerAddresses() {
+    Map<String, String> addresses = new TreeMap<>();
+    instances.forEach(
+        (id, instance) -> {
+          if (!id.equals(selfId)) {
+            addresses.put(id, instance.peerAddress());
+          }
+        });
+    return addresses;
+  }
+
+  private void round() {
+    if (stopped) {
+      return;
+    }
+    CompletableFuture<Void> registered = leaseId.isEmpty() ? register() : renew();
+    Completions.onComplete(
+        registered,
+        (done, failure) -> {
+          if (failure != null) {
+            LOG.infof("instance.registration_failed reason=%s", failure.getMessage());
+          }
+          read();
+        });
+  }
+
+  private CompletableFuture<Void> register() {
+    long ttlMillis = LEASE_PERIODS * periodMillis();
+    return store
+        .grantLease(ttlMillis)
+        .thenCompose(
+            granted -> {
+              leaseId = OptionalLong.of(granted);
+              return write();
+            });
+  }
+
+  private CompletableFuture<Void> renew() {
+    return Completions.thenOnOutcome(
+        store.renewLease(leaseId.getAsLong()),
+        (done, failure) -> {
+          if (failure != null && StoreException.kindOf(failure) == Kind.LEASE_EXPIRED) {
+            LOG.infof("instance.lease_expired lease=%d", leaseId.getAsLong());
+            leaseId = OptionalLong.empty();
+            return register();
+          }
+          if (failure != null) {
+            return CompletableFuture.failedFuture(failure);
+          }
+          boolean isRegistered = instances.containsKey(selfId);
+          return isRegistered && !hasMoved() ? CompletableFuture.completedFuture(null) : write();
+        });
+  }
+
+  private boolean hasMoved() {
+    Map<String, Double> current = demand.get();
+    double total = 0;
+    double moved = 0;
+    for (Map.Entry<String, Double> entry : current.entrySet()) {
+      total += entry.getValue();
+      moved += Math.abs(entry.getValue() - writtenDemand.getOrDefault(entry.getKey(), 0.0));
+    }
+    return moved > WRITE_THRESHOLD * total;
+  }
+
+  private CompletableFuture<Void> write() {
+    Map<String, Double> current = demand.get();
+    InstanceRecord record = new InstanceRecord(peerAddress, current);
+    return store
+        .apply(StoreChange.put(PREFIX + selfId, record.encode(), leaseId))
+        .thenAccept(revision -> writtenDemand = current);
+  }
+
+  private void read() {
+    readPage("", new TreeMap<>());
+  }
+
+  private void readPage(String afterKey, Map<String, InstanceRecord> collected) {
+    Completions.onComplete(
+        store.list(PREFIX, afterKey),
+        (page, failure) -> {
+          if (failure != null) {
+            LOG.infof("instance.listing_failed reason=%s", failure.getMessage());
+            again();
+            return;
+          }
+          page.items().forEach(item -> collect(item, collected));
+          if (page.hasMore() && !page.items().isEmpty()) {
+            readPage(page.items().get(page.items().size() - 1).key(), collected);
+            return;
+          }
+          adopt(collected);
+          again();
+        });
+  }
+
+  private static void collect(StoreItem item, Map<String, InstanceRecord> collected) {
+    try {
+      collected.put(item.key().substring(PREFIX.length()), InstanceRecord.decode(item.value()));
+    } catch (IOException e) {
+      LOG.warnf("instance.unreadable key=%s reason=%s", item.key(), e.getMessage());
+    }
+  }
+
+  private void adopt(Map<String, InstanceRecord> read) {
+    if (!read.keySet().equals(instances.keySet())) {
+      LOG.infof("instances.changed count=%d previous=%d", read.size(), instances.size());
+    }
+    instances = Map.copyOf(read);
+    TreeMap<String, InstanceRecord> withSelf = new TreeMap<>(read);
+    withSelf.putIfAbsent(selfId, new InstanceRecord(peerAddress, Map.of()));
+    viewWriter.accept(
+        new FleetView(
+            java.util.List.copyOf(withSelf.keySet()), shares(demand.get(), selfId, withSelf)));
+    onChanged.run();
+  }
+
+  /** Returns this instance's part of each customer's allowance. */
+  static Map<String, Double> shares(
+      Map<String, Double> ownDemand, String selfId, Map<String, InstanceRecord> instances) {
+    Map<String, Double> totals = new HashMap<>(ownDemand);
+    instances.forEach(
+        (id, instance) -> {
+          if (!id.equals(selfId)) {
+            instance
+                .demandPerSecond()
+                .forEach((name, value) -> totals.merge(name, value, Double::sum));
+          }
+        });
+    Map<String, Double> shares = new HashMap<>();
+    totals.forEach(
+        (name, total) -> {
+          double equal = 1.0 / instances.size();
+          double byDemand = total > 0 ? ownDemand.getOrDefault(name, 0.0) / total : equal;
+          shares.put(name, EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * byDemand);
+        });
+    return shares;
+  }
+
+  private void again() {
+    scheduler.schedule(this::round, (long) (periodMillis() * (0.9 + 0.2 * random.nextDouble())));
+  }
+
+  private long periodMillis() {
+    return PERIOD_MILLIS + PERIOD_MILLIS_PER_INSTANCE * instances.size();
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/OperatingBounds.java
@@ -0,0 +1,35 @@
+package org.buckthornferry.fleet;
+
+import org.buckthornferry.control.BlackboardEntry;
+
+/**
+ * The bounds that the deployment's settings state.
+ *
+ * @param retryRatio second and further attempts at a service for each of its requests
+ * @param retrySlack such attempts besides, over all instances in a window
+ * @param retryWindowMillis the window of the two bounds before
+ * @param allowanceSlack what all customers' requests may exceed their allowance by in a window
+ * @param allowanceWindowMillis the window of the bound before
+ * @param contactMillis how long an instance must have been undisturbed before time bounds hold
+ * @param configMillis when a confirmed configuration is in force everywhere
+ * @param drainMillis when a leaving endpoint gets no more requests
+ * @param graceMillis from the request to stop until the process is killed
+ */
+public record OperatingBounds(
+    double retryRatio,
+    double retrySlack,
+    long retryWindowMillis,
+    double allowanceSlack,
+    long allowanceWindowMillis,
+    long contactMillis,
+    long configMillis,
+    long drainMillis,
+    long graceMillis) {
+  /** Bounds that hold when the settings state none; strict ones. */
+  public static final OperatingBounds DEFAULTS =
+      new OperatingBounds(0.1, 0, 10_000, 0, 10_000, 3_000, 2_000, 2_000, 8_000);
+
+  /** The bounds in force. */
+  public static final BlackboardEntry<OperatingBounds> ENTRY =
+      BlackboardEntry.of("bounds", DEFAULTS);
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
@@ -14,8 +14,7 @@
 /** Delivers the response of one connection to the call that is in progress on it. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
   private PendingCall call;
-  private boolean keepAlive;
-  private boolean informational;
+  private boolean skipping;
 
   void begin(PendingCall newCall) {
     call = newCall;
@@ -28,13 +27,14 @@
       return;
     }
     if (message instanceof HttpResponse response) {
-      informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-      keepAlive = HttpUtil.isKeepAlive(response);
-      if (!informational) {
-        call.onHead(response.status().code(), response.headers());
+      skipping =
+          response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+              || !call.isOwnResponse(response.status().code(), response.headers());
+      if (!skipping) {
+        call.onHead(response.status().code(), response.headers(), HttpUtil.isKeepAlive(response));
       }
     }
-    if (message instanceof HttpContent content && !informational) {
+    if (message instanceof HttpContent content && !skipping) {
       onContent(content);
     }
   }
@@ -49,7 +49,7 @@
     if (content instanceof LastHttpContent) {
       PendingCall ended = call;
       call = null;
-      ended.onEnd(keepAlive);
+      ended.onEnd();
     }
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -8,19 +8,27 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import jdk.net.ExtendedSocketOptions;
 
 /**
  * An HTTP/1.1 client that keeps idle connections. A request is sent once on one connection and is
@@ -29,10 +37,31 @@
 public final class HttpConnector {
   private static final int MAX_IDLE_PER_ADDRESS = 256;
 
+  /**
+   * The share of a server's stated idle time during which a connection is reused; the rest covers
+   * the way of a request to the server.
+   */
+  private static final double IDLE_REUSE_SHARE = 0.6;
+
+  /** How long a connection is reused when the server states no idle time, in milliseconds. */
+  private static final long DEFAULT_IDLE_MILLIS = 4_000;
+
+  /** Silence after which the kernel probes an open connection, and the pause between probes. */
+  private static final int PROBE_SECONDS = 1;
+
+  /** Unanswered probes after which the kernel resets a connection. */
+  private static final int PROBE_COUNT = 3;
+
   private final Bootstrap bootstrap;
-  private final Map<InetSocketAddress, ConcurrentLinkedDeque<Channel>> idle =
+  private final Map<InetSocketAddress, ConcurrentLinkedDeque<IdleChannel>> idle =
       new ConcurrentHashMap<>();
 
+  private record IdleChannel(Channel channel, long reusableUntilNanos) {
+    boolean isReusable(long nowNanos) {
+      return channel.isActive() && reusableUntilNanos - nowNanos > 0;
+    }
+  }
+
   /**
    * Creates a client.
    *
@@ -45,6 +74,10 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBE_COUNT)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -63,16 +96,37 @@
       Map<String, String> headers,
       byte[] body,
       HttpResponseListener listener) {
+    HttpHeaders fields = new DefaultHttpHeaders();
+    headers.forEach(fields::set);
+    fields.set(HttpHeaderNames.HOST, hostHeader(address));
+    return send(address, method, pathAndQuery, fields, body, listener);
+  }
+
+  /**
+   * Sends a request; the listener hears the response in parts. The header fields are taken over;
+   * they contain {@code Host}.
+   */
+  public HttpCall send(
+      InetSocketAddress address,
+      String method,
+      String pathAndQuery,
+      HttpHeaders headers,
+      byte[] body,
+      HttpResponseListener listener) {
+    if (body.length > 0 || !method.equals("GET")) {
+      headers.setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    }
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(method),
             pathAndQuery,
-            Unpooled.wrappedBuffer(body));
-    headers.forEach(request.headers()::set);
-    request.headers().set(HttpHeaderNames.HOST, hostHeader(address));
-    request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-    PendingCall call = new PendingCall(request, listener, channel -> keep(address, channel));
+            Unpooled.wrappedBuffer(body),
+            headers,
+            EmptyHttpHeaders.INSTANCE);
+    PendingCall call =
+        new PendingCall(
+            request, listener, (channel, idleMillis) -> keep(address, channel, idleMillis));
     Channel reused = takeIdle(address);
     if (reused != null) {
       call.sendOn(reused);
@@ -97,11 +151,21 @@
       long timeoutMillis) {
     CollectingListener listener = new CollectingListener();
     HttpCall call = send(address, method, pathAndQuery, headers, body, listener);
+    ScheduledFuture<?> timeout =
+        bootstrap
+            .config()
+            .group()
+            .schedule(
+                () ->
+                    listener.onFailure(
+                        new TimeoutException("no response within " + timeoutMillis + " ms"), true),
+                timeoutMillis,
+                TimeUnit.MILLISECONDS);
     return listener
         .result()
-        .orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
         .handle(
             (reply, failure) -> {
+              timeout.cancel(false);
               if (failure == null) {
                 return reply;
               }
@@ -110,26 +174,41 @@
             });
   }
 
+  /** Closes the idle connections to an address, so that none of them is used again. */
+  public void forget(InetSocketAddress address) {
+    ConcurrentLinkedDeque<IdleChannel> channels = idle.remove(address);
+    if (channels == null) {
+      return;
+    }
+    for (IdleChannel connection : channels) {
+      connection.channel.close();
+    }
+  }
+
   private Channel takeIdle(InetSocketAddress address) {
-    ConcurrentLinkedDeque<Channel> channels = idle.get(address);
+    ConcurrentLinkedDeque<IdleChannel> channels = idle.get(address);
     if (channels == null) {
       return null;
     }
-    Channel channel = channels.pollLast();
-    while (channel != null && !channel.isActive()) {
-      channel = channels.pollLast();
+    long nowNanos = System.nanoTime();
+    IdleChannel connection = channels.pollLast();
+    while (connection != null && !connection.isReusable(nowNanos)) {
+      connection.channel.close();
+      connection = channels.pollLast();
     }
-    return channel;
+    return connection == null ? null : connection.channel;
   }
 
-  private void keep(InetSocketAddress address, Channel channel) {
-    ConcurrentLinkedDeque<Channel> channels =
+  private void keep(InetSocketAddress address, Channel channel, OptionalLong idleLimitMillis) {
+    ConcurrentLinkedDeque<IdleChannel> channels =
         idle.computeIfAbsent(address, unused -> new ConcurrentLinkedDeque<>());
-    if (channels.size() < MAX_IDLE_PER_ADDRESS) {
-      channels.addLast(channel);
-    } else {
+    if (channels.size() >= MAX_IDLE_PER_ADDRESS) {
       channel.close();
+      return;
     }
+    long idleMillis = (long) (IDLE_REUSE_SHARE * idleLimitMillis.orElse(DEFAULT_IDLE_MILLIS));
+    channels.addLast(
+        new IdleChannel(channel, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(idleMillis)));
   }
 
   private static String hostHeader(InetSocketAddress address) {
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpExchange.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpExchange.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -22,6 +24,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
 /**
  * One request and its response. The response methods may be called from any thread, in the order
@@ -30,24 +33,30 @@
 public final class HttpExchange {
   private final Channel channel;
   private final String method;
+  private final String rawUri;
   private final QueryStringDecoder uri;
   private final HttpHeaders headers;
   private final byte[] body;
   private final boolean keepAlive;
+  private final BooleanSupplier draining;
   private final Runnable onFinished;
+  private volatile boolean closeAfterResponse;
   private final AtomicBoolean finished = new AtomicBoolean();
   private volatile Runnable closeListener = () -> {};
   private volatile Runnable writableListener = () -> {};
 
-  HttpExchange(Channel channel, FullHttpRequest request, Runnable onFinished) {
+  HttpExchange(
+      Channel channel, FullHttpRequest request, BooleanSupplier draining, Runnable onFinished) {
     this.channel = channel;
     this.method = request.method().name();
-    this.uri = new QueryStringDecoder(request.uri());
+    this.rawUri = request.uri();
+    this.uri = new QueryStringDecoder(rawUri);
     this.headers = request.headers();
     ByteBuf content = request.content();
     this.body = new byte[content.readableBytes()];
     content.getBytes(content.readerIndex(), body);
     this.keepAlive = HttpUtil.isKeepAlive(request);
+    this.draining = draining;
     this.onFinished = onFinished;
   }
 
@@ -67,6 +76,16 @@
     return values == null ? Optional.empty() : Optional.of(values.get(0));
   }
 
+  /** Returns the path and the query as the client sent them. */
+  public String rawUri() {
+    return rawUri;
+  }
+
+  /** Returns all header fields; they must not be changed. */
+  public HttpHeaders headers() {
+    return headers;
+  }
+
   /** Returns the first value of a header, or empty. */
   public Optional<String> header(String name) {
     return Optional.ofNullable(headers.get(name));
@@ -97,12 +116,20 @@
 
   /** Sends a whole response. */
   public void respond(int status, Map<String, String> responseHeaders, byte[] responseBody) {
+    HttpHeaders fields = new DefaultHttpHeaders();
+    responseHeaders.forEach(fields::set);
+    respond(status, fields, responseBody);
+  }
+
+  /** Sends a whole response; the header fields are taken over and completed. */
+  public void respond(int status, HttpHeaders responseHeaders, byte[] responseBody) {
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(status),
-            Unpooled.wrappedBuffer(responseBody));
-    responseHeaders.forEach(response.headers()::set);
+            Unpooled.wrappedBuffer(responseBody),
+            responseHeaders,
+            EmptyHttpHeaders.INSTANCE);
     response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, responseBody.length);
     finish(response);
   }
@@ -115,9 +142,16 @@
 
   /** Sends the head of a response whose body follows in parts. */
   public void start(int status, Map<String, String> responseHeaders) {
+    HttpHeaders fields = new DefaultHttpHeaders();
+    responseHeaders.forEach(fields::set);
+    start(status, fields);
+  }
+
+  /** Sends the head of a response whose body follows in parts; the fields are taken over. */
+  public void start(int status, HttpHeaders responseHeaders) {
     HttpResponse response =
-        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-    responseHeaders.forEach(response.headers()::set);
+        new DefaultHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), responseHeaders);
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     setConnectionHeader(response);
     channel.writeAndFlush(response, channel.voidPromise());
@@ -150,7 +184,7 @@
     if (lastMessage instanceof HttpResponse response) {
       setConnectionHeader(response);
     }
-    if (keepAlive) {
+    if (!closeAfterResponse) {
       channel.writeAndFlush(lastMessage, channel.voidPromise());
       channel.eventLoop().execute(onFinished);
     } else {
@@ -159,7 +193,8 @@
   }
 
   private void setConnectionHeader(HttpResponse response) {
-    if (!keepAlive) {
+    closeAfterResponse = !keepAlive || draining.getAsBoolean();
+    if (closeAfterResponse) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpServer.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpServer.java
@@ -6,17 +6,20 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /** An HTTP/1.1 server with limits on headers, bodies, connections and unsent response bytes. */
 public final class HttpServer {
@@ -25,20 +28,37 @@
   private static final int ACCEPT_BACKLOG = 1_024;
 
   private final InetSocketAddress address;
-  private final HttpLimits limits;
+  private final Supplier<HttpLimits> limits;
   private final Optional<SslContext> tls;
   private final EventLoopGroup eventLoops;
   private final HttpHandler handler;
   private final AtomicInteger openConnections = new AtomicInteger();
+  private final ChannelGroup connections =
+      new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
   private volatile Channel serverChannel;
+  private volatile boolean draining;
 
-  /** Creates a server that does not listen yet. */
+  /** Creates a server with fixed limits that does not listen yet. */
   public HttpServer(
       InetSocketAddress address,
       HttpLimits limits,
       Optional<SslContext> tls,
       EventLoopGroup eventLoops,
       HttpHandler handler) {
+    this(address, () -> limits, tls, eventLoops, handler);
+  }
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param limits read once for each new connection
+   */
+  public HttpServer(
+      InetSocketAddress address,
+      Supplier<HttpLimits> limits,
+      Optional<SslContext> tls,
+      EventLoopGroup eventLoops,
+      HttpHandler handler) {
     this.address = address;
     this.limits = limits;
     this.tls = tls;
@@ -78,6 +98,20 @@
     }
   }
 
+  /**
+   * Ends every further response with {@code Connection: close}; connections stay open until then.
+   */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Closes the connections on which no request has arrived that still lacks its response. */
+  public void closeIdleConnections() {
+    for (Channel connection : connections) {
+      connection.pipeline().fireUserEventTriggered(ServerConnection.CLOSE_WHEN_IDLE);
+    }
+  }
+
   /** Returns the number of open connections. */
   public int openConnections() {
     return openConnections.get();
@@ -86,23 +120,22 @@
   private final class Pipeline extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
-      if (openConnections.incrementAndGet() > limits.maxConnections()) {
+      HttpLimits current = limits.get();
+      if (openConnections.incrementAndGet() > current.maxConnections()) {
         openConnections.decrementAndGet();
         channel.close();
         return;
       }
       channel.closeFuture().addListener(closed -> openConnections.decrementAndGet());
+      connections.add(channel);
       tls.ifPresent(context -> channel.pipeline().addLast(context.newHandler(channel.alloc())));
       channel
           .pipeline()
-          .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS))
-          .addLast(
-              new HttpServerCodec(
-                  new HttpDecoderConfig()
-                      .setMaxInitialLineLength(limits.maxHeaderBytes())
-                      .setMaxHeaderSize(limits.maxHeaderBytes())))
-          .addLast(new LimitedBodyAggregator(limits.maxBodyBytes()))
-          .addLast(new ServerConnection(handler));
+          .addLast(new IdleStateHandler(0, 0, current.idleTimeoutMillis(), TimeUnit.MILLISECONDS))
+          .addLast(new StrictRequestDecoder(current.maxHeaderBytes()))
+          .addLast(new HttpResponseEncoder())
+          .addLast(new LimitedBodyAggregator(current.maxBodyBytes()))
+          .addLast(new ServerConnection(handler, () -> draining));
     }
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
-import java.util.function.Consumer;
+import java.util.OptionalLong;
 
 /** A request from its connect to the end of its response. */
 final class PendingCall implements HttpCall {
@@ -17,12 +17,25 @@
 
   private final FullHttpRequest request;
   private final HttpResponseListener listener;
-  private final Consumer<Channel> keep;
+  private final KeepConnection keep;
   private State state = State.CONNECTING;
   private boolean reading = true;
   private Channel channel;
+  private boolean reusable;
+  private OptionalLong idleLimitMillis = OptionalLong.empty();
 
-  PendingCall(FullHttpRequest request, HttpResponseListener listener, Consumer<Channel> keep) {
+  /** Takes a connection back after its response has ended. */
+  @FunctionalInterface
+  interface KeepConnection {
+    /**
+     * Keeps a connection.
+     *
+     * @param idleLimitMillis how long the server leaves it open, if it has said so
+     */
+    void keep(Channel channel, OptionalLong idleLimitMillis);
+  }
+
+  PendingCall(FullHttpRequest request, HttpResponseListener listener, KeepConnection keep) {
     this.request = request;
     this.listener = listener;
     this.keep = keep;
@@ -38,14 +51,18 @@
   }
 
   void sendOn(Channel newChannel) {
-    newChannel.eventLoop().execute(() -> sendOnEventLoop(newChannel));
+    if (newChannel.eventLoop().inEventLoop()) {
+      sendOnEventLoop(newChannel);
+    } else {
+      newChannel.eventLoop().execute(() -> sendOnEventLoop(newChannel));
+    }
   }
 
   private void sendOnEventLoop(Channel newChannel) {
     synchronized (this) {
       if (state == State.ENDED) {
         request.release();
-        keep.accept(newChannel);
+        keep.keep(newChannel, OptionalLong.empty());
         return;
       }
       channel = newChannel;
@@ -64,7 +81,13 @@
     newChannel.writeAndFlush(request);
   }
 
-  void onHead(int status, HttpHeaders headers) {
+  boolean isOwnResponse(int status, HttpHeaders headers) {
+    return listener.isOwnResponse(status, headers);
+  }
+
+  void onHead(int status, HttpHeaders headers, boolean keepAlive) {
+    reusable = keepAlive;
+    idleLimitMillis = KeepAliveHeader.timeoutMillis(headers);
     if (isActive()) {
       listener.onHead(status, headers);
     }
@@ -76,13 +99,13 @@
     }
   }
 
-  void onEnd(boolean reusable) {
+  void onEnd() {
     if (!end()) {
       return;
     }
     if (reusable) {
       channel.config().setAutoRead(true);
-      keep.accept(channel);
+      keep.keep(channel, idleLimitMillis);
     } else {
       channel.close();
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/http/ServerConnection.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ServerConnection.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.function.BooleanSupplier;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
 import org.jboss.logging.Logger;
@@ -18,17 +19,22 @@
   /** A client that pipelines more requests than this is disconnected. */
   private static final int MAX_PIPELINED = 16;
 
+  /** Asks the connection to close as soon as it waits for a request. */
+  static final Object CLOSE_WHEN_IDLE = new Object();
+
   private final HttpHandler handler;
+  private final BooleanSupplier draining;
   private final Queue<HttpExchange> waiting = new ArrayDeque<>();
   private HttpExchange current;
 
-  ServerConnection(HttpHandler handler) {
+  ServerConnection(HttpHandler handler, BooleanSupplier draining) {
     this.handler = handler;
+    this.draining = draining;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-    HttpExchange exchange = new HttpExchange(context.channel(), request, this::startNext);
+    HttpExchange exchange = new HttpExchange(context.channel(), request, draining, this::startNext);
     if (request.decoderResult().isFailure()) {
       refuseMalformed(context, exchange, request.decoderResult().cause());
       return;
@@ -59,7 +65,8 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
-    if (event instanceof IdleStateEvent) {
+    // A request in progress has its own deadline, also when neither side sends anything.
+    if ((event instanceof IdleStateEvent || event == CLOSE_WHEN_IDLE) && current == null) {
       context.close();
     }
   }
@@ -77,6 +84,7 @@
     ProblemDocument.of(
             new RequestException(ErrorKind.BAD_REQUEST, "malformed HTTP: " + cause.getMessage()))
         .sendTo(exchange);
+    // What follows on the connection cannot be told apart from the malformed request.
     context.close();
   }
 
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/StrictRequestDecoder.java
@@ -0,0 +1,25 @@
+package org.buckthornferry.http;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Decodes requests and rejects those whose end two readers could see at different places, so that
+ * no request can hide inside another one.
+ */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+  StrictRequestDecoder(int maxHeaderBytes) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(maxHeaderBytes)
+            .setMaxHeaderSize(maxHeaderBytes));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException(
+        "both " + HttpHeaderNames.TRANSFER_ENCODING + " and " + HttpHeaderNames.CONTENT_LENGTH);
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/membership/StoreReachability.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/membership/StoreReachability.java
@@ -43,7 +43,7 @@
   /** A refusal such as a conflict proves that the service is reachable. */
   private static boolean answered(Throwable failure) {
     return switch (StoreException.kindOf(failure)) {
-      case CONFLICT, LEASE_EXPIRED, RATE_LIMITED, TOO_LARGE -> true;
+      case CONFLICT, LEASE_EXPIRED, RATE_LIMITED, TOO_LARGE, HISTORY_LOST -> true;
       case UNAVAILABLE, OUTCOME_UNKNOWN -> false;
     };
   }
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -0,0 +1,271 @@
+package org.buckthornferry.node;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultithreadEventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.buckthornferry.catalog.Catalog;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.error.ErrorKind;
+import org.buckthornferry.error.RequestException;
+import org.buckthornferry.fleet.DeploymentController;
+import org.buckthornferry.fleet.DeploymentSource;
+import org.buckthornferry.fleet.InstanceRegistry;
+import org.buckthornferry.fleet.OperatingBounds;
+import org.buckthornferry.http.HttpConnector;
+import org.buckthornferry.http.HttpExchange;
+import org.buckthornferry.http.HttpLimits;
+import org.buckthornferry.http.HttpServer;
+import org.buckthornferry.http.ProblemDocument;
+import org.buckthornferry.relay.CallerProtocol;
+import org.buckthornferry.relay.EndpointProtocol;
+import org.buckthornferry.relay.Relay;
+import org.buckthornferry.store.SharedStore;
+import org.buckthornferry.util.MonotonicClock;
+import org.buckthornferry.util.Scheduler;
+import org.jboss.logging.Logger;
+
+/**
+ * One instance that relays callers' requests to the endpoints of a deployment described in a shared
+ * store. Everything runs on one event loop.
+ */
+public final class RelayNode {
+  private static final Logger LOG = Logger.getLogger(RelayNode.class);
+
+  /** How long a connection may take to be established, in milliseconds; networks are local. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+  /**
+   * How long an instance that stops goes on to listen, in milliseconds: the platform takes it out
+   * after two checks a second apart.
+   */
+  private static final long STOP_LISTENING_MILLIS = 2_600;
+
+  /** The part of the grace that is left for the end of the process, in milliseconds. */
+  private static final long STOP_MARGIN_MILLIS = 700;
+
+  /** How often a stopping instance looks whether requests are left, in milliseconds. */
+  private static final long STOP_POLL_MILLIS = 50;
+
+  private final RelayNodeSettings settings;
+  private final MultithreadEventLoopGroup eventLoops =
+      new NioEventLoopGroup(1, new DefaultThreadFactory("relay", true));
+  private final EventLoop eventLoop = (EventLoop) eventLoops.next();
+  private final Scheduler scheduler = this::schedule;
+  private final Blackboard blackboard = new Blackboard();
+  private final Consumer<OperatingBounds> boundsWriter = blackboard.writerOf(OperatingBounds.ENTRY);
+  private final MetricRegistry registry = new MetricRegistry();
+  private final Relay relay;
+  private final DeploymentController deployment;
+  private final InstanceRegistry instances;
+  private final HttpServer callerServer;
+  private final List<HttpServer> servers = new ArrayList<>();
+  private volatile boolean draining;
+  private boolean wasReady;
+
+  /**
+   * Creates a node that does not listen yet.
+   *
+   * @param store connects to the shared store
+   */
+  public RelayNode(
+      RelayNodeSettings settings,
+      Function<HttpConnector, SharedStore> store,
+      DeploymentSource source,
+      CallerProtocol callers,
+      EndpointProtocol endpoints) {
+    this.settings = settings;
+    boundsWriter.accept(settings.bounds());
+    HttpConnector connector = new HttpConnector(eventLoops, CONNECT_TIMEOUT_MILLIS);
+    SharedStore sharedStore = store.apply(connector);
+    RandomGenerator random = new SplittableRandom();
+    this.relay =
+        new Relay(
+            blackboard,
+            connector,
+            callers,
+            endpoints,
+            scheduler,
+            MonotonicClock.SYSTEM,
+            registry,
+            settings.instanceId(),
+            settings.failureDomain(),
+            random);
+    this.deployment =
+        new DeploymentController(
+            sharedStore,
+            source,
+            blackboard,
+            relay::refresh,
+            scheduler,
+            MonotonicClock.SYSTEM,
+            random);
+    this.instances =
+        new InstanceRegistry(
+            sharedStore,
+            settings.instanceId(),
+            settings.peerAddress().getHostString() + ":" + settings.peerAddress().getPort(),
+            relay::demandPerSecond,
+            blackboard,
+            relay::refresh,
+            scheduler,
+            random);
+    this.callerServer =
+        new HttpServer(
+            settings.callerAddress(),
+            () -> blackboard.read(Catalog.ENTRY).limits(),
+            Optional.empty(),
+            eventLoops,
+            this::onCallerRequest);
+    servers.add(callerServer);
+    if (!settings.readinessAddress().equals(settings.callerAddress())) {
+      servers.add(internalServer(settings.readinessAddress()));
+    }
+    settings.metricsAddress().ifPresent(address -> servers.add(internalServer(address)));
+  }
+
+  /** Starts to listen and to follow the store; fails when an address cannot be bound. */
+  public CompletableFuture<Void> start() {
+    LOG.infof(
+        "instance.starting id=%s domain=%s address=%s",
+        settings.instanceId(), settings.failureDomain(), settings.callerAddress());
+    eventLoop.execute(
+        () -> {
+          deployment.start();
+          instances.start();
+        });
+    List<CompletableFuture<Integer>> started = new ArrayList<>();
+    servers.forEach(server -> started.add(server.start()));
+    return CompletableFuture.allOf(started.toArray(new CompletableFuture<?>[0]));
+  }
+
+  /** Takes over bounds that have changed in the settings. */
+  public void reload(OperatingBounds bounds) {
+    eventLoop.execute(
+        () -> {
+          LOG.infof("settings.reloaded bounds=\"%s\"", bounds);
+          boundsWriter.accept(bounds);
+        });
+  }
+
+  /**
+   * Stops in good order: reports that it is not ready, finishes the requests in progress and closes
+   * connections when no request can be on its way.
+   *
+   * @return completes when no request is left or the grace is over
+   */
+  public CompletableFuture<Void> stop() {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    draining = true;
+    callerServer.drain();
+    eventLoop.execute(
+        () -> {
+          LOG.infof("instance.stopping inProgress=%d", relay.inProgress());
+          var unused =
+              instances
+                  .stop()
+                  .exceptionally(
+                      failure -> {
+                        LOG.infof("instance.deregistration_failed reason=%s", failure.getMessage());
+                        return null;
+                      });
+          schedule(() -> finish(stopped, STOP_LISTENING_MILLIS), STOP_LISTENING_MILLIS);
+        });
+    return stopped;
+  }
+
+  private void finish(CompletableFuture<Void> stopped, long elapsedMillis) {
+    callerServer.closeIdleConnections();
+    long limitMillis = settings.bounds().graceMillis() - STOP_MARGIN_MILLIS;
+    if (relay.inProgress() > 0 && elapsedMillis < limitMillis) {
+      schedule(() -> finish(stopped, elapsedMillis + STOP_POLL_MILLIS), STOP_POLL_MILLIS);
+      return;
+    }
+    deployment.stop();
+    LOG.infof("instance.stopped inProgress=%d elapsedMillis=%d", relay.inProgress(), elapsedMillis);
+    stopped.complete(null);
+  }
+
+  private HttpServer internalServer(InetSocketAddress address) {
+    return new HttpServer(
+        address, HttpLimits.INTERNAL, Optional.empty(), eventLoops, this::onInternalRequest);
+  }
+
+  private void onCallerRequest(HttpExchange exchange) {
+    if (exchange.rawUri().equals(settings.readinessPath())
+        && settings.readinessAddress().equals(settings.callerAddress())) {
+      onInternalRequest(exchange);
+    } else {
+      relay.handle(exchange);
+    }
+  }
+
+  private void onInternalRequest(HttpExchange exchange) {
+    String path = exchange.path();
+    if (path.equals(settings.readinessPath())) {
+      answerReadiness(exchange);
+    } else if (path.equals("/metrics")) {
+      exchange.respond(
+          200,
+          Map.of("Content-Type", "text/plain; version=0.0.4"),
+          MetricsText.write(registry).getBytes(StandardCharsets.UTF_8));
+    } else if (path.equals("/dump")) {
+      exchange.respondJson(200, describe());
+    } else {
+      ProblemDocument.of(new RequestException(ErrorKind.UNKNOWN_ROUTE, path)).sendTo(exchange);
+    }
+  }
+
+  private void answerReadiness(HttpExchange exchange) {
+    boolean ready = !draining && deployment.isReady();
+    if (ready != wasReady) {
+      wasReady = ready;
+      LOG.infof("readiness.changed ready=%s draining=%s", ready, draining);
+    }
+    exchange.respondJson(ready ? 200 : 503, "{\"ready\":" + ready + "}");
+  }
+
+  private String describe() {
+    com.fasterxml.jackson.databind.node.ObjectNode node =
+        com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.objectNode();
+    node.put("configVersion", blackboard.read(Catalog.ENTRY).version());
+    node.put("storeReachable", deployment.isStoreReachable());
+    node.put("inProgress", relay.inProgress());
+    relay
+        .describe()
+        .forEach(
+            (service, lines) -> {
+              var list = node.putArray(service);
+              lines.forEach(list::add);
+            });
+    return node.toString();
+  }
+
+  private Scheduler.Task schedule(Runnable task, long delayMillis) {
+    var scheduled = eventLoop.schedule(guarded(task), delayMillis, TimeUnit.MILLISECONDS);
+    return () -> scheduled.cancel(false);
+  }
+
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        LOG.errorf(e, "task.failed");
+      }
+    };
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNodeSettings.java
@@ -0,0 +1,21 @@
+package org.buckthornferry.node;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.buckthornferry.fleet.OperatingBounds;
+
+/**
+ * The settings of an instance that relays requests.
+ *
+ * @param readinessPath the path that is answered with 200 while the instance takes requests
+ * @param metricsAddress where metrics and the state dump are served, if anywhere
+ */
+public record RelayNodeSettings(
+    String instanceId,
+    String failureDomain,
+    InetSocketAddress callerAddress,
+    InetSocketAddress readinessAddress,
+    String readinessPath,
+    InetSocketAddress peerAddress,
+    Optional<InetSocketAddress> metricsAddress,
+    OperatingBounds bounds) {}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
@@ -0,0 +1,40 @@
+package org.buckthornferry.relay;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * A request as a caller sent it.
+ *
+ * @param requestId the caller's id of this attempt
+ * @param uri path and query, unchanged
+ * @param forwarded the header fields that go on to an endpoint
+ * @param timeBudgetMillis how long the caller waits, if it says so
+ * @param customerKey the key that names the customer
+ * @param promptTokens the tokens of the prompt; 0 when not stated
+ * @param outputTokens the most tokens of the answer; 0 when not stated
+ * @param totalTokens what the request counts towards an allowance; negative when not stated
+ * @param lastEventId the event after which a stream goes on
+ */
+@SuppressWarnings("ArrayRecordComponent") // The body is handed on and never changed.
+public record CallerRequest(
+    String requestId,
+    String method,
+    String uri,
+    String host,
+    HttpHeaders forwarded,
+    byte[] body,
+    OptionalLong timeBudgetMillis,
+    Optional<String> customerKey,
+    long promptTokens,
+    long outputTokens,
+    long totalTokens,
+    Optional<String> lastEventId) {
+
+  /** Returns the path without the query. */
+  public String path() {
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -0,0 +1,258 @@
+package org.buckthornferry.relay;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.buckthornferry.catalog.Catalog;
+import org.buckthornferry.catalog.Customer;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.catalog.Route;
+import org.buckthornferry.catalog.Service;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.dispatch.Allowance;
+import org.buckthornferry.dispatch.SlidingCount;
+import org.buckthornferry.error.ErrorKind;
+import org.buckthornferry.error.RequestException;
+import org.buckthornferry.fleet.EndpointList;
+import org.buckthornferry.fleet.FleetView;
+import org.buckthornferry.fleet.OperatingBounds;
+import org.buckthornferry.http.HttpConnector;
+import org.buckthornferry.http.HttpExchange;
+import org.buckthornferry.http.HttpHandler;
+import org.buckthornferry.util.MonotonicClock;
+import org.buckthornferry.util.Scheduler;
+import org.jboss.logging.Logger;
+
+/**
+ * Takes callers' requests and carries them to endpoints. Used by one thread: the event loop of the
+ * server, the connector and the scheduler.
+ */
+public final class Relay implements HttpHandler {
+  private static final Logger LOG = Logger.getLogger(Relay.class);
+
+  /** When a caller comes back that met an instance without a configuration, in milliseconds. */
+  private static final long NOT_READY_RETRY_MILLIS = 500;
+
+  /** The part of the permitted excess that instances use together; the rest covers stale shares. */
+  private static final double ALLOWANCE_SLACK_SHARE = 0.35;
+
+  /** The window in which customers' demand is counted, in milliseconds. */
+  private static final long DEMAND_WINDOW_MILLIS = 4_000;
+
+  private final RelayEnvironment environment;
+  private final String selfId;
+  private final String ownDomain;
+  private final RandomGenerator random;
+  private final Map<String, ServiceQueue> queues = new HashMap<>();
+  private final Map<String, Allowance> allowances = new HashMap<>();
+  private final Map<String, SlidingCount> demand = new HashMap<>();
+  private int inProgress;
+
+  /** Creates a relay without services. */
+  public Relay(
+      Blackboard blackboard,
+      HttpConnector connector,
+      CallerProtocol callers,
+      EndpointProtocol endpoints,
+      Scheduler scheduler,
+      MonotonicClock clock,
+      MetricRegistry registry,
+      String selfId,
+      String ownDomain,
+      RandomGenerator random) {
+    this.environment =
+        new RelayEnvironment(
+            blackboard,
+            connector,
+            callers,
+            endpoints,
+            scheduler,
+            clock,
+            new RelayMetrics(registry));
+    this.selfId = selfId;
+    this.ownDomain = ownDomain;
+    this.random = random;
+    registry.gauge("relay.in_progress", () -> (Gauge<Integer>) () -> inProgress);
+    registry.gauge("relay.waiting", () -> (Gauge<Integer>) this::waiting);
+  }
+
+  /** Takes over what has changed on the blackboard: configuration, endpoints or instances. */
+  public void refresh() {
+    Catalog catalog = environment.blackboard().read(Catalog.ENTRY);
+    EndpointList list = environment.blackboard().read(EndpointList.ENTRY);
+    FleetView fleet = environment.blackboard().read(FleetView.ENTRY);
+    Map<String, List<Endpoint>> byService = new HashMap<>();
+    for (Endpoint endpoint : list.endpoints()) {
+      byService.computeIfAbsent(endpoint.serviceName(), name -> new ArrayList<>()).add(endpoint);
+    }
+    for (Service service : catalog.services()) {
+      ServiceQueue queue = queues.get(service.name());
+      if (queue == null) {
+        queue = new ServiceQueue(service, selfId, ownDomain, environment, random);
+        queues.put(service.name(), queue);
+      }
+      queue.update(service, byService.getOrDefault(service.name(), List.of()), fleet.instanceIds());
+    }
+    Set<String> names = new HashSet<>();
+    catalog.customers().forEach(customer -> names.add(customer.name()));
+    allowances.keySet().retainAll(names);
+    demand.keySet().retainAll(names);
+  }
+
+  /** Returns the number of requests that have not been answered in full. */
+  public int inProgress() {
+    return inProgress;
+  }
+
+  /** Returns each customer's demand at this instance, in its unit per second. */
+  public Map<String, Double> demandPerSecond() {
+    long nowNanos = environment.clock().nanoTime();
+    double seconds = DEMAND_WINDOW_MILLIS / (double) TimeUnit.SECONDS.toMillis(1);
+    Map<String, Double> result = new TreeMap<>();
+    demand.forEach((name, count) -> result.put(name, count.sum(nowNanos) / seconds));
+    return result;
+  }
+
+  /** Returns what is known about endpoints by service, for the state dump. */
+  public Map<String, List<String>> describe() {
+    Map<String, List<String>> result = new TreeMap<>();
+    queues.forEach((name, queue) -> result.put(name, queue.describe()));
+    return result;
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    long nowNanos = environment.clock().nanoTime();
+    Optional<CallerRequest> request = Optional.empty();
+    try {
+      request = Optional.of(environment.callers().decode(exchange));
+      admit(exchange, request.get(), nowNanos);
+    } catch (RequestException e) {
+      refuse(exchange, request.map(CallerRequest::requestId).orElse("unknown"), e);
+    }
+  }
+
+  private void admit(HttpExchange exchange, CallerRequest request, long nowNanos) {
+    Catalog catalog = environment.blackboard().read(Catalog.ENTRY);
+    if (catalog.version() == 0) {
+      throw new RequestException(
+          ErrorKind.NOT_READY, "the configuration has not been read yet", NOT_READY_RETRY_MILLIS);
+    }
+    Route route =
+        catalog
+            .route(request.host(), request.path())
+            .orElseThrow(
+                () ->
+                    new RequestException(
+                        ErrorKind.UNKNOWN_ROUTE, "no route in version " + catalog.version()));
+    Optional<Customer> customer = customer(catalog, route, request);
+    double cost = charge(customer, request, nowNanos);
+    String serviceName = route.chooseService(random.nextDouble());
+    ServiceQueue queue = queues.get(serviceName);
+    if (queue == null) {
+      throw new RequestException(
+          ErrorKind.NO_ENDPOINT, "service " + serviceName + " is unknown", NOT_READY_RETRY_MILLIS);
+    }
+    RelayedRequest relayed =
+        new RelayedRequest(
+            environment,
+            queue,
+            exchange,
+            request,
+            route,
+            customer,
+            nowNanos,
+            sentOnce -> onEnded(customer, sentOnce ? 0 : cost));
+    inProgress++;
+    environment.metrics().admitted.inc();
+    LOG.infof(
+        "request.admitted id=%s route=%s service=%s customer=%s config=%d waiting=%d"
+            + " promptTokens=%d outputTokens=%d",
+        request.requestId(),
+        route.name(),
+        serviceName,
+        customer.map(Customer::name).orElse("-"),
+        catalog.version(),
+        queue.waiting(),
+        request.promptTokens(),
+        request.outputTokens());
+    relayed.start();
+  }
+
+  private static Optional<Customer> customer(Catalog catalog, Route route, CallerRequest request) {
+    Optional<Customer> customer = request.customerKey().flatMap(catalog::customerWithKey);
+    if (customer.isEmpty() && !route.isOpen() && !catalog.customers().isEmpty()) {
+      throw new RequestException(
+          ErrorKind.UNAUTHENTICATED, "unknown customer key in version " + catalog.version());
+    }
+    return customer;
+  }
+
+  /** Takes the request's cost from its customer's allowance and returns it. */
+  private double charge(Optional<Customer> customer, CallerRequest request, long nowNanos) {
+    if (customer.isEmpty()) {
+      return 0;
+    }
+    String name = customer.get().name();
+    Customer.Rate rate = customer.get().rate();
+    double cost = rate.cost(request.totalTokens());
+    demand
+        .computeIfAbsent(name, unused -> new SlidingCount(DEMAND_WINDOW_MILLIS))
+        .add(cost, nowNanos);
+    if (!rate.isLimited()) {
+      return 0;
+    }
+    FleetView fleet = environment.blackboard().read(FleetView.ENTRY);
+    OperatingBounds bounds = environment.blackboard().read(OperatingBounds.ENTRY);
+    double share = fleet.allowanceShare(name);
+    double extra = rate.isInTokens() ? ALLOWANCE_SLACK_SHARE * bounds.allowanceSlack() * share : 0;
+    long waitMillis =
+        allowances
+            .computeIfAbsent(name, unused -> new Allowance(extra, nowNanos))
+            .tryTake(cost, rate, share, extra, nowNanos);
+    if (waitMillis > 0) {
+      throw new RequestException(
+          ErrorKind.RATE_LIMITED,
+          String.format(
+              "customer %s cost %.0f share %.3f of %.0f per second",
+              name, cost, share, rate.perSecond()),
+          waitMillis);
+    }
+    return cost;
+  }
+
+  private void onEnded(Optional<Customer> customer, double unusedCost) {
+    inProgress--;
+    if (unusedCost > 0) {
+      Allowance allowance = allowances.get(customer.orElseThrow().name());
+      if (allowance != null) {
+        allowance.giveBack(unusedCost);
+      }
+    }
+  }
+
+  private void refuse(HttpExchange exchange, String requestId, RequestException failure) {
+    environment.metrics().failed(failure.kind()).inc();
+    LOG.infof(
+        "request.refused id=%s kind=%s detail=\"%s\" retryAfterMillis=%d",
+        requestId, failure.kind(), failure.getMessage(), failure.retryAfterMillis());
+    environment.callers().refusal(requestId, failure).sendTo(exchange);
+  }
+
+  private int waiting() {
+    int total = 0;
+    for (ServiceQueue queue : queues.values()) {
+      total += queue.waiting();
+    }
+    return total;
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -0,0 +1,16 @@
+package org.buckthornferry.relay;
+
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.http.HttpConnector;
+import org.buckthornferry.util.MonotonicClock;
+import org.buckthornferry.util.Scheduler;
+
+/** What all requests of an instance use. */
+record RelayEnvironment(
+    Blackboard blackboard,
+    HttpConnector connector,
+    CallerProtocol callers,
+    EndpointProtocol endpoints,
+    Scheduler scheduler,
+    MonotonicClock clock,
+    RelayMetrics metrics) {}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -0,0 +1,140 @@
+package org.buckthornferry.relay;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.catalog.Service;
+import org.buckthornferry.dispatch.AttemptOutcome;
+import org.buckthornferry.dispatch.Dispatcher;
+import org.buckthornferry.dispatch.Placement;
+import org.buckthornferry.dispatch.RetryBudget;
+import org.buckthornferry.dispatch.WaitingRequest;
+import org.buckthornferry.fleet.FleetView;
+import org.buckthornferry.fleet.OperatingBounds;
+import org.buckthornferry.util.Scheduler;
+
+/** Runs the dispatcher of one service whenever something has changed or is due. */
+final class ServiceQueue {
+  /** A timer fires late by about this much at most, so an earlier one would find nothing due. */
+  private static final long TIMER_MILLIS = 1;
+
+  private final RelayEnvironment environment;
+  private final Dispatcher dispatcher;
+  private final RetryBudget retries;
+  private Scheduler.Task wakeUp = Scheduler.Task.NONE;
+  private long wakeUpNanos = Dispatcher.NEVER;
+  private boolean isDispatching;
+  private boolean isDirty;
+
+  ServiceQueue(
+      Service service,
+      String selfId,
+      String ownDomain,
+      RelayEnvironment environment,
+      RandomGenerator random) {
+    this.environment = environment;
+    this.dispatcher = new Dispatcher(service, selfId, ownDomain, random);
+    this.retries =
+        new RetryBudget(environment.blackboard().read(OperatingBounds.ENTRY).retryWindowMillis());
+  }
+
+  void update(Service service, List<Endpoint> endpoints, List<String> instanceIds) {
+    dispatcher.setService(service);
+    dispatcher.setEndpoints(endpoints);
+    dispatcher.setInstances(instanceIds);
+    run();
+  }
+
+  int waiting() {
+    return dispatcher.waiting();
+  }
+
+  int endpointCount() {
+    return dispatcher.endpointCount();
+  }
+
+  double bestFirstMillis(long promptTokens) {
+    return dispatcher.bestFirstMillis(promptTokens);
+  }
+
+  List<String> describe() {
+    return dispatcher.describeEndpoints();
+  }
+
+  /** Counts a request of a caller for the budget of repeats. */
+  void onRequest() {
+    retries.onRequest(environment.clock().nanoTime());
+  }
+
+  /** Takes the right to send a request once more. */
+  boolean tryRepeat() {
+    OperatingBounds bounds = environment.blackboard().read(OperatingBounds.ENTRY);
+    int instances = environment.blackboard().read(FleetView.ENTRY).instances();
+    return retries.tryTake(
+        bounds.retryRatio(), bounds.retrySlack(), instances, environment.clock().nanoTime());
+  }
+
+  void submit(WaitingRequest request) {
+    dispatcher.submit(request, environment.clock().nanoTime());
+    run();
+  }
+
+  void remove(WaitingRequest request) {
+    dispatcher.remove(request);
+  }
+
+  void onSent(Placement placement) {
+    dispatcher.onSent(placement, environment.clock().nanoTime());
+  }
+
+  void onFirstEvent(Placement placement, double millis) {
+    dispatcher.onFirstEvent(placement, millis);
+  }
+
+  void onEnded(Placement placement, boolean wasReserving, AttemptOutcome outcome) {
+    dispatcher.onEnded(placement, wasReserving, outcome, environment.clock().nanoTime());
+    run();
+  }
+
+  /** Dispatches until nothing more is due; calls from within a dispatch are taken up by it. */
+  private void run() {
+    isDirty = true;
+    if (isDispatching) {
+      return;
+    }
+    isDispatching = true;
+    long nextNanos = Dispatcher.NEVER;
+    try {
+      while (isDirty) {
+        isDirty = false;
+        nextNanos = dispatcher.dispatch(environment.clock().nanoTime());
+      }
+    } finally {
+      isDispatching = false;
+    }
+    wakeUpAt(nextNanos);
+  }
+
+  private void wakeUpAt(long nextNanos) {
+    if (nextNanos == wakeUpNanos) {
+      return;
+    }
+    wakeUp.cancel();
+    wakeUpNanos = nextNanos;
+    if (nextNanos == Dispatcher.NEVER) {
+      wakeUp = Scheduler.Task.NONE;
+      return;
+    }
+    long delayNanos = Math.max(0, nextNanos - environment.clock().nanoTime());
+    wakeUp =
+        environment
+            .scheduler()
+            .schedule(this::onDue, TimeUnit.NANOSECONDS.toMillis(delayNanos) + TIMER_MILLIS);
+  }
+
+  private void onDue() {
+    wakeUpNanos = Dispatcher.NEVER;
+    run();
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -0,0 +1,252 @@
+package org.buckthornferry.store;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.buckthornferry.store.StoreException.Kind;
+import org.buckthornferry.util.Completions;
+import org.buckthornferry.util.MonotonicClock;
+import org.buckthornferry.util.Scheduler;
+import org.jboss.logging.Logger;
+
+/**
+ * Keeps a copy of the items under one prefix: lists them, then watches for changes, and lists them
+ * again when the store has forgotten changes. Used by one thread; futures of the store must
+ * complete on it.
+ */
+public final class PrefixFollower {
+  private static final Logger LOG = Logger.getLogger(PrefixFollower.class);
+
+  /** The pause after a failed call, in milliseconds; a random half is added against bursts. */
+  private static final long RETRY_MILLIS = 200;
+
+  /** The pause after a call that the store refused for its rate, in milliseconds. */
+  private static final long RATE_LIMITED_RETRY_MILLIS = 600;
+
+  private final SharedStore store;
+  private final String prefix;
+  private final long watchMillis;
+  private final Listener listener;
+  private final Scheduler scheduler;
+  private final MonotonicClock clock;
+  private final RandomGenerator random;
+  private final TreeMap<String, StoreItem> items = new TreeMap<>();
+  private State state = State.NEW;
+  private long revision;
+  private long confirmedNanos;
+  private long lostNanos;
+  private boolean reachable;
+
+  private enum State {
+    NEW,
+    LISTING,
+    WATCHING,
+    STOPPED
+  }
+
+  /** Hears of changes of the copy and of the store's reachability. */
+  public interface Listener {
+    /** The copy has changed. */
+    void onChanged(PrefixFollower follower);
+
+    /** The store has answered again after {@code lostMillis}, or for the first time after 0. */
+    void onReachable(long lostMillis);
+
+    /** A call to the store has failed; called once until it answers again. */
+    void onUnreachable(Kind reason);
+  }
+
+  /**
+   * Creates a follower that does nothing yet.
+   *
+   * @param watchMillis how long one watch waits; bounds how late a silent connection is noticed
+   */
+  public PrefixFollower(
+      SharedStore store,
+      String prefix,
+      long watchMillis,
+      Listener listener,
+      Scheduler scheduler,
+      MonotonicClock clock,
+      RandomGenerator random) {
+    this.store = store;
+    this.prefix = prefix;
+    this.watchMillis = watchMillis;
+    this.listener = listener;
+    this.scheduler = scheduler;
+    this.clock = clock;
+    this.random = random;
+  }
+
+  /** Starts to list. */
+  public void start() {
+    list("", new TreeMap<>(), 0);
+  }
+
+  /** Stops; answers that arrive later are dropped. */
+  public void stop() {
+    state = State.STOPPED;
+  }
+
+  /** Returns the items of the copy, ordered by key. */
+  public Collection<StoreItem> items() {
+    return items.values();
+  }
+
+  /** Returns the revision up to which the copy is complete; 0 when nothing has been read. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Returns whether the last call succeeded. */
+  public boolean isReachable() {
+    return reachable;
+  }
+
+  /** Returns when the copy was last known to be complete; meaningless while its revision is 0. */
+  public long confirmedNanos() {
+    return confirmedNanos;
+  }
+
+  /** Takes over a copy that another instance holds when it is newer than this one. */
+  public boolean adopt(long otherRevision, List<StoreItem> otherItems) {
+    if (otherRevision <= revision || state == State.STOPPED) {
+      return false;
+    }
+    TreeMap<String, StoreItem> copy = new TreeMap<>();
+    otherItems.forEach(item -> copy.put(item.key(), item));
+    replace(copy, otherRevision);
+    return true;
+  }
+
+  private void list(String afterKey, Map<String, StoreItem> collected, long firstRevision) {
+    if (state == State.STOPPED) {
+      return;
+    }
+    state = State.LISTING;
+    Completions.onComplete(
+        store.list(prefix, afterKey),
+        (page, failure) -> {
+          if (failure != null) {
+            onFailure(StoreException.kindOf(failure));
+            return;
+          }
+          page.items().forEach(item -> collected.put(item.key(), item));
+          // Changes during the listing are replayed by a watch from its first page.
+          long fromRevision = firstRevision == 0 ? page.revision() : firstRevision;
+          if (page.hasMore() && !page.items().isEmpty()) {
+            list(page.items().get(page.items().size() - 1).key(), collected, fromRevision);
+            return;
+          }
+          onSuccess();
+          if (fromRevision >= revision) {
+            replace(collected, fromRevision);
+          }
+          watch();
+        });
+  }
+
+  private void replace(Map<String, StoreItem> copy, long newRevision) {
+    boolean same = revision > 0 && sameRevisions(items, copy);
+    items.clear();
+    items.putAll(copy);
+    revision = newRevision;
+    confirmedNanos = clock.nanoTime();
+    if (!same) {
+      listener.onChanged(this);
+    }
+  }
+
+  private static boolean sameRevisions(
+      Map<String, StoreItem> before, Map<String, StoreItem> after) {
+    if (!before.keySet().equals(after.keySet())) {
+      return false;
+    }
+    for (StoreItem item : after.values()) {
+      if (before.get(item.key()).revision() != item.revision()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void watch() {
+    if (state == State.STOPPED) {
+      return;
+    }
+    state = State.WATCHING;
+    Completions.onComplete(
+        store.watch(prefix, revision, watchMillis),
+        (changes, failure) -> {
+          if (failure != null) {
+            onFailure(StoreException.kindOf(failure));
+            return;
+          }
+          onSuccess();
+          if (state != State.STOPPED) {
+            apply(changes);
+          }
+          watch();
+        });
+  }
+
+  private void apply(StoreChanges changes) {
+    List<StoreItem> newer = new ArrayList<>();
+    for (StoreItem change : changes.changes()) {
+      if (change.revision() > revision) {
+        newer.add(change);
+      }
+    }
+    for (StoreItem change : newer) {
+      if (change.isRemoval()) {
+        items.remove(change.key());
+      } else {
+        items.put(change.key(), change);
+      }
+    }
+    revision = Math.max(revision, changes.revision());
+    confirmedNanos = clock.nanoTime();
+    if (!newer.isEmpty()) {
+      listener.onChanged(this);
+    }
+  }
+
+  private void onSuccess() {
+    if (!reachable) {
+      reachable = true;
+      long lostMillis =
+          lostNanos == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - lostNanos);
+      listener.onReachable(lostMillis);
+    }
+  }
+
+  private void onFailure(Kind reason) {
+    if (state == State.STOPPED) {
+      return;
+    }
+    if (reason == Kind.HISTORY_LOST) {
+      LOG.infof("store.history_lost prefix=%s revision=%d", prefix, revision);
+      list("", new TreeMap<>(), 0);
+      return;
+    }
+    if (reachable || lostNanos == 0) {
+      reachable = false;
+      lostNanos = clock.nanoTime();
+      listener.onUnreachable(reason);
+    }
+    long baseMillis = reason == Kind.RATE_LIMITED ? RATE_LIMITED_RETRY_MILLIS : RETRY_MILLIS;
+    scheduler.schedule(
+        () -> {
+          if (revision == 0) {
+            list("", new TreeMap<>(), 0);
+          } else {
+            watch();
+          }
+        },
+        baseMillis / 2 + random.nextLong(baseMillis));
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreChange.java
@@ -0,0 +1,52 @@
+package org.buckthornferry.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+/** A change of one or more keys that takes effect as a whole or not at all. Immutable. */
+public final class StoreChange {
+  /** A revision of 0 requires that the key is absent. */
+  public record Condition(String key, long revision) {}
+
+  /** A key that gets a value, and the lease that removes it when it ends. */
+  @SuppressWarnings("ArrayRecordComponent") // Values are handed over and never changed.
+  public record Write(String key, byte[] value, OptionalLong leaseId) {}
+
+  private final List<Condition> conditions;
+  private final List<Write> writes;
+  private final List<String> removals;
+
+  private StoreChange(List<Condition> conditions, List<Write> writes, List<String> removals) {
+    this.conditions = List.copyOf(conditions);
+    this.writes = List.copyOf(writes);
+    this.removals = List.copyOf(removals);
+  }
+
+  /** Returns a change that writes one key without a condition. */
+  public static StoreChange put(String key, byte[] value, OptionalLong leaseId) {
+    return new StoreChange(List.of(), List.of(new Write(key, value, leaseId)), List.of());
+  }
+
+  /** Returns this change with the further condition that {@code key} has {@code revision}. */
+  public StoreChange onlyIf(String key, long revision) {
+    List<Condition> more = new ArrayList<>(conditions);
+    more.add(new Condition(key, revision));
+    return new StoreChange(more, writes, removals);
+  }
+
+  /** Returns the conditions, which must all hold. */
+  public List<Condition> conditions() {
+    return conditions;
+  }
+
+  /** Returns the keys that get a value. */
+  public List<Write> writes() {
+    return writes;
+  }
+
+  /** Returns the keys that are removed. */
+  public List<String> removals() {
+    return removals;
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/store/StoreException.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreException.java
@@ -20,7 +20,9 @@
     /** The service refused the call because of its rate; nothing changed. */
     RATE_LIMITED,
     /** The value is larger than 1 MB; nothing changed. */
-    TOO_LARGE
+    TOO_LARGE,
+    /** The changes after the given revision have been forgotten; the keys must be listed again. */
+    HISTORY_LOST
   }
 
   private final Kind kind;
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StorePage.java
@@ -0,0 +1,16 @@
+package org.buckthornferry.store;
+
+import java.util.List;
+
+/**
+ * A page of items.
+ *
+ * @param hasMore whether further items follow the last one
+ * @param revision the revision of the store when the page was read
+ */
+public record StorePage(List<StoreItem> items, boolean hasMore, long revision) {
+  /** Copies the list. */
+  public StorePage {
+    items = List.copyOf(items);
+  }
+}
