--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/catalog/CatalogTest.java
@@ -0,0 +1,89 @@
+package org.buckthornferry.catalog;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.OptionalInt;
+import org.buckthornferry.http.HttpLimits;
+import org.junit.jupiter.api.Test;
+
+final class CatalogTest {
+  private final Catalog catalog =
+      new Catalog(
+          3,
+          List.of(route("short", "/a/"), route("long", "/a/b/"), route("root", "/")),
+          List.of(),
+          List.of(
+              new Customer("c", List.of("k1", "k2"), OptionalInt.empty(), Customer.Rate.UNLIMITED)),
+          HttpLimits.INTERNAL);
+
+  @Test
+  void choosesTheLongestPrefixThatEndsAtASlash() {
+    assertThat(name("h.example", "/a/b/c")).isEqualTo("long");
+    assertThat(name("h.example", "/a/bc")).isEqualTo("short");
+    assertThat(name("h.example", "/x")).isEqualTo("root");
+  }
+
+  @Test
+  void comparesHostsWithoutPortAndCase() {
+    assertThat(name("H.Example:8080", "/a/")).isEqualTo("short");
+    assertThat(catalog.route("other.example", "/a/")).isEmpty();
+  }
+
+  @Test
+  void findsACustomerByEachOfItsKeys() {
+    assertThat(catalog.customerWithKey("k2").orElseThrow().name()).isEqualTo("c");
+    assertThat(catalog.customerWithKey("k3")).isEmpty();
+  }
+
+  @Test
+  void dividesARouteAmongServicesByWeight() {
+    Route split =
+        new Route(
+            "r",
+            "h",
+            "/",
+            RouteKind.IDEMPOTENT,
+            List.of(new Route.ServiceShare("a", 90), new Route.ServiceShare("b", 10)),
+            1_000,
+            100,
+            0,
+            2,
+            0,
+            false,
+            false,
+            List.of());
+    assertThat(split.chooseService(0.0)).isEqualTo("a");
+    assertThat(split.chooseService(0.89)).isEqualTo("a");
+    assertThat(split.chooseService(0.91)).isEqualTo("b");
+  }
+
+  @Test
+  void onlyIdempotentAndResumableRequestsRunAgain() {
+    assertThat(RouteKind.IDEMPOTENT.mayRunAgain(false)).isTrue();
+    assertThat(RouteKind.NON_IDEMPOTENT.mayRunAgain(true)).isFalse();
+    assertThat(RouteKind.STREAMING.mayRunAgain(false)).isFalse();
+    assertThat(RouteKind.STREAMING.mayRunAgain(true)).isTrue();
+  }
+
+  private String name(String host, String path) {
+    return catalog.route(host, path).orElseThrow().name();
+  }
+
+  private static Route route(String name, String prefix) {
+    return new Route(
+        name,
+        "h.example",
+        prefix,
+        RouteKind.IDEMPOTENT,
+        List.of(new Route.ServiceShare("s", 1)),
+        1_000,
+        100,
+        0,
+        2,
+        0,
+        false,
+        false,
+        List.of());
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/ColdGateTest.java
@@ -0,0 +1,72 @@
+package org.buckthornferry.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+final class ColdGateTest {
+  private static final double PER_SECOND = 5.2;
+  private static final double OVERRUN = 1.5;
+  private static final double SLACK = 5;
+
+  @Test
+  void startsEmptySoThatARestartGainsNothing() {
+    ColdGate gate = new ColdGate();
+    assertThat(gate.tryTake("e1", PER_SECOND, "i0", List.of("i0"), 0)).isFalse();
+    assertThat(gate.tryTake("e1", PER_SECOND, "i0", List.of("i0"), millis(300))).isTrue();
+  }
+
+  @Test
+  void aFewInstancesShareTheRateAndTheOthersSendNothing() {
+    List<String> ids = IntStream.range(0, 60).mapToObj(i -> "i" + i).toList();
+    int senders = 0;
+    for (String id : ids) {
+      ColdGate gate = new ColdGate();
+      gate.tryTake("e1", PER_SECOND, id, ids, 0);
+      if (gate.tryTake("e1", PER_SECOND, id, ids, millis(10_000))) {
+        senders++;
+      }
+    }
+    assertThat(senders).isEqualTo(5);
+  }
+
+  /** Instances press at once, restart, and see different sets of the others. */
+  @Test
+  void allInstancesTogetherKeepTheBoundInEachSecond() {
+    for (int seed = 1; seed <= 60; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      List<String> ids = IntStream.range(0, 8).mapToObj(i -> "edge-" + i).toList();
+      ColdGate[] gates =
+          IntStream.range(0, 8).mapToObj(i -> new ColdGate()).toArray(ColdGate[]::new);
+      List<Long> sent = new ArrayList<>();
+      for (long now = 0; now < 10_000; now += 2) {
+        int instance = random.nextInt(8);
+        if (random.nextInt(1_500) == 0) {
+          gates[instance] = new ColdGate();
+        }
+        boolean missesOne = random.nextInt(10) == 0;
+        List<String> seen = missesOne ? ids.subList(0, 7) : ids;
+        if (gates[instance].tryTake("e1", PER_SECOND, ids.get(instance), seen, millis(now))) {
+          sent.add(now);
+        }
+      }
+      for (long start = 0; start < 10_000; start += 50) {
+        long from = start;
+        long count = sent.stream().filter(time -> time >= from && time < from + 1_000).count();
+        assertWithMessage("seed %s from %s", seed, start)
+            .that((double) count)
+            .isAtMost(PER_SECOND * OVERRUN + SLACK);
+      }
+    }
+  }
+
+  private static long millis(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -0,0 +1,211 @@
+package org.buckthornferry.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.catalog.Service;
+import org.buckthornferry.error.ErrorKind;
+import org.junit.jupiter.api.Test;
+
+final class DispatcherTest {
+  private static final Service MODEL =
+      new Service("model", 100, 3_000, 5.2, Optional.of(new Service.Reservations(2_000)));
+  private static final Service PLAIN = new Service("plain", 100, 0, 0, Optional.empty());
+
+  private final List<Placement> placed = new ArrayList<>();
+  private final List<String> refused = new ArrayList<>();
+  private final List<Long> retryAfterMillis = new ArrayList<>();
+
+  @Test
+  void placesOnTheEndpointWithTheShortestTimeToTheFirstEvent() {
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint("slow", 4, 0), endpoint("fast", 4, 0));
+    learn(dispatcher, "slow", 600);
+    learn(dispatcher, "fast", 100);
+    placed.clear();
+    dispatcher.submit(request("r", 0, 3_000, 0), millis(10));
+    dispatcher.dispatch(millis(10));
+    assertThat(placed.get(0).endpoint().id()).isEqualTo("fast");
+    assertThat(placed.get(0).reservesFirst()).isTrue();
+  }
+
+  @Test
+  void triesAnotherEndpointWhenOneIsFull() {
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint("a", 4, 0), endpoint("b", 4, 0));
+    WaitingRequest request = request("r", 0, 3_000, 0);
+    dispatcher.submit(request, 0);
+    dispatcher.dispatch(0);
+    Placement first = placed.get(0);
+    dispatcher.onEnded(first, true, AttemptOutcome.FULL, 0);
+    dispatcher.submit(request, 0);
+    dispatcher.dispatch(0);
+    assertThat(placed.get(1).endpoint().id()).isNotEqualTo(first.endpoint().id());
+  }
+
+  @Test
+  void waitsAndAsksAgainWhenAllEndpointsAreFull() {
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint("a", 4, 0));
+    WaitingRequest request = request("r", 0, 3_000, 0);
+    dispatcher.submit(request, 0);
+    dispatcher.dispatch(0);
+    dispatcher.onEnded(placed.get(0), true, AttemptOutcome.FULL, 0);
+    dispatcher.submit(request, 0);
+    long nextNanos = dispatcher.dispatch(0);
+    assertThat(placed).hasSize(1);
+    assertThat(nextNanos).isAtMost(millis(30));
+    dispatcher.dispatch(nextNanos);
+    assertThat(placed).hasSize(2);
+  }
+
+  @Test
+  void givesTheSlotToTheMoreImportantRequest() {
+    Dispatcher dispatcher = dispatcher(PLAIN, endpoint("a", 1, 0));
+    dispatcher.submit(request("first", 0, 0, 0), 0);
+    dispatcher.dispatch(0);
+    dispatcher.submit(request("second", 0, 0, 0), 0);
+    dispatcher.dispatch(0);
+    Placement blocker = placed.get(placed.size() - 1);
+    while (placed.size() < 2 && dispatcher.waiting() == 0) {
+      dispatcher.submit(request("filler", 0, 0, 0), 0);
+      dispatcher.dispatch(0);
+      blocker = placed.get(placed.size() - 1);
+    }
+    dispatcher.submit(request("low", 2, 0, 1), millis(1));
+    dispatcher.submit(request("high", 0, 0, 2), millis(2));
+    dispatcher.dispatch(millis(2));
+    int before = placed.size();
+    dispatcher.onEnded(blocker, false, AttemptOutcome.COMPLETED, millis(3));
+    dispatcher.dispatch(millis(3));
+    assertThat(placed.size()).isGreaterThan(before);
+    assertThat(placed.get(before).request().rank()).isEqualTo(0);
+  }
+
+  @Test
+  void keepsAwayFromAnEndpointThatBrokeUntilItsPauseIsOver() {
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint("a", 4, 0), endpoint("b", 4, 0));
+    dispatcher.submit(request("r", 0, 3_000, 0), 0);
+    dispatcher.dispatch(0);
+    Placement broken = placed.get(0);
+    dispatcher.onSent(broken, 0);
+    dispatcher.onEnded(broken, false, AttemptOutcome.BROKEN, 0);
+    for (int i = 0; i < 3; i++) {
+      dispatcher.submit(request("r" + i, 0, 3_000, 0), millis(1));
+    }
+    dispatcher.dispatch(millis(1));
+    for (Placement placement : placed.subList(1, placed.size())) {
+      assertThat(placement.endpoint().id()).isNotEqualTo(broken.endpoint().id());
+    }
+  }
+
+  @Test
+  void neverUsesAnAddressAgainAtWhichAnotherProcessAnswered() {
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint("a", 4, 0));
+    dispatcher.submit(request("r", 0, 3_000, 0), 0);
+    dispatcher.dispatch(0);
+    dispatcher.onEnded(placed.get(0), false, AttemptOutcome.MISDIRECTED, 0);
+    dispatcher.submit(request("s", 0, 3_000, 0), 0);
+    dispatcher.dispatch(millis(1_000));
+    assertThat(placed).hasSize(1);
+  }
+
+  @Test
+  void holdsBackRequestsToAColdEndpoint() {
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint("a", 40, 3_000));
+    dispatcher.setInstances(List.of("self"));
+    for (int i = 0; i < 20; i++) {
+      dispatcher.submit(request("r" + i, 0, 10, 0), 0);
+    }
+    for (long now = 0; now < 1_000; now += 10) {
+      dispatcher.dispatch(millis(now));
+    }
+    assertThat(placed.size()).isAtMost(13);
+    assertThat(placed).isNotEmpty();
+  }
+
+  @Test
+  void refusesWithATimeToComeBackWhenNoSlotBecomesFree() {
+    Dispatcher dispatcher = dispatcher(MODEL);
+    dispatcher.submit(request("r", 0, 3_000, 0), 0);
+    dispatcher.dispatch(0);
+    assertThat(refused).isEmpty();
+    dispatcher.dispatch(millis(9_000));
+    assertThat(refused).containsExactly("r NO_ENDPOINT");
+    assertThat(retryAfterMillis.get(0)).isGreaterThan(0);
+  }
+
+  @Test
+  void aRegistrationOfARestartedProcessStartsWithoutHistory() {
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint("a", 4, 0));
+    dispatcher.submit(request("r", 0, 3_000, 0), 0);
+    dispatcher.dispatch(0);
+    dispatcher.onEnded(placed.get(0), false, AttemptOutcome.MISDIRECTED, 0);
+    Endpoint restarted = new Endpoint("a", "model", address(), "z1", "v1", 4, false, 0, 77, 0);
+    dispatcher.setEndpoints(List.of(restarted));
+    dispatcher.submit(request("s", 0, 3_000, 0), 0);
+    dispatcher.dispatch(millis(1));
+    assertThat(placed).hasSize(2);
+  }
+
+  private void learn(Dispatcher dispatcher, String endpointId, double firstMillis) {
+    for (int i = 0; i < 20; i++) {
+      WaitingRequest request = request("learn" + i, 0, 3_000, 0);
+      dispatcher.submit(request, 0);
+      dispatcher.dispatch(0);
+      Placement placement = placed.get(placed.size() - 1);
+      dispatcher.onSent(placement, 0);
+      double millis =
+          placement.endpoint().id().equals(endpointId)
+              ? firstMillis
+              : placement.endpoint().id().equals("slow") ? 600 : 100;
+      dispatcher.onFirstEvent(placement, millis);
+      dispatcher.onEnded(placement, false, AttemptOutcome.COMPLETED, 0);
+    }
+  }
+
+  private static Dispatcher dispatcher(Service service, Endpoint... endpoints) {
+    Dispatcher dispatcher = new Dispatcher(service, "self", "z1", new SplittableRandom(7));
+    dispatcher.setEndpoints(List.of(endpoints));
+    return dispatcher;
+  }
+
+  private WaitingRequest request(String id, int rank, long promptTokens, long arrivalMillis) {
+    return new WaitingRequest(
+        id,
+        "kind" + rank,
+        rank,
+        promptTokens,
+        promptTokens + 100,
+        millis(arrivalMillis),
+        millis(arrivalMillis + 1_000),
+        millis(arrivalMillis + 10_000),
+        new WaitingRequest.Listener() {
+          @Override
+          public void onPlaced(Placement placement) {
+            placed.add(placement);
+          }
+
+          @Override
+          public void onRefused(ErrorKind reason, String detail, long retryMillis) {
+            refused.add(id + " " + reason);
+            retryAfterMillis.add(retryMillis);
+          }
+        });
+  }
+
+  private static Endpoint endpoint(String id, int capacity, long coldMillis) {
+    return new Endpoint(id, "model", address(), "z1", "v1", capacity, false, coldMillis, 1, 0);
+  }
+
+  private static InetSocketAddress address() {
+    return InetSocketAddress.createUnresolved("127.0.0.1", 1);
+  }
+
+  private static long millis(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointTrackerTest.java
@@ -0,0 +1,86 @@
+package org.buckthornferry.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.store.StoreItem;
+import org.junit.jupiter.api.Test;
+
+final class EndpointTrackerTest {
+  private final EndpointTracker tracker = new EndpointTracker(EndpointTrackerTest::decode);
+
+  @Test
+  void leavesOutDrainingEndpointsAndEvacuatedDomains() {
+    tracker.update(
+        List.of(item("a ready z1", 1), item("b draining z1", 2), item("c ready z2", 3)), true, 0);
+    assertThat(ids(Set.of(), 0)).containsExactly("a", "c");
+    assertThat(ids(Set.of("z2"), 0)).containsExactly("a");
+  }
+
+  @Test
+  void anEndpointIsGoneAtOnceWhenItsRegistrationIsRemoved() {
+    tracker.update(List.of(item("a ready z1", 1)), true, 0);
+    tracker.update(List.of(), true, millis(1));
+    assertThat(ids(Set.of(), millis(1))).isEmpty();
+  }
+
+  @Test
+  void aRegistrationThatLapsedInAnOutageCountsUntilItCouldBeBack() {
+    tracker.update(List.of(item("a ready z1", 1)), true, 0);
+    tracker.onStoreBack(millis(5_000));
+    tracker.update(List.of(), true, millis(5_010));
+    assertThat(ids(Set.of(), millis(5_010))).containsExactly("a");
+    assertThat(ids(Set.of(), millis(5_000 + EndpointTracker.LAPSE_GRACE_MILLIS))).isEmpty();
+  }
+
+  @Test
+  void anEndpointThatReportedDrainingBeforeItLapsedIsNotUsed() {
+    tracker.update(List.of(item("a draining z1", 1)), true, 0);
+    tracker.onStoreBack(millis(5_000));
+    tracker.update(List.of(), true, millis(5_010));
+    assertThat(ids(Set.of(), millis(5_010))).isEmpty();
+  }
+
+  @Test
+  void aRegistrationThatCannotBeReadNamesNoEndpoint() {
+    tracker.update(List.of(item("a unreadable z1", 1), item("b ready z1", 2)), true, 0);
+    assertThat(ids(Set.of(), 0)).containsExactly("b");
+  }
+
+  private List<String> ids(Set<String> evacuated, long nowNanos) {
+    return tracker.usable(evacuated, nowNanos).stream().map(Endpoint::id).toList();
+  }
+
+  private static StoreItem item(String text, long revision) {
+    return new StoreItem(
+        text.substring(0, 1), text.getBytes(java.nio.charset.StandardCharsets.UTF_8), revision);
+  }
+
+  private static Optional<Endpoint> decode(StoreItem item, long nowNanos) {
+    List<String> words = List.of(item.text().split(" ", -1));
+    if (words.get(1).equals("unreadable")) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Endpoint(
+            words.get(0),
+            "s",
+            InetSocketAddress.createUnresolved("127.0.0.1", 1),
+            words.get(2),
+            "v1",
+            4,
+            words.get(1).equals("draining"),
+            0,
+            0,
+            nowNanos));
+  }
+
+  private static long millis(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpServerTest.java
@@ -0,0 +1,83 @@
+package org.buckthornferry.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.MultithreadEventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class HttpServerTest {
+  private static final String CHUNKED_BODY_AND_SMUGGLED_REQUEST =
+      String.join("\r\n", "", "0", "", "GET /smuggled HTTP/1.1", "Host: h", "", "");
+
+  private final MultithreadEventLoopGroup loops = new NioEventLoopGroup(1);
+  private final AtomicInteger handled = new AtomicInteger();
+  private final HttpServer server =
+      new HttpServer(
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+          HttpLimits.INTERNAL,
+          Optional.empty(),
+          loops,
+          exchange -> {
+            handled.incrementAndGet();
+            exchange.respondJson(200, "{}");
+          });
+
+  @AfterEach
+  void stop() {
+    server.stop();
+    loops.shutdownGracefully();
+  }
+
+  @Test
+  void rejectsARequestWithTwoLengthsAndDoesNotReadOn() throws IOException {
+    String answers =
+        exchange(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+                + CHUNKED_BODY_AND_SMUGGLED_REQUEST);
+    assertThat(answers).startsWith("HTTP/1.1 400");
+    assertThat(handled.get()).isEqualTo(0);
+  }
+
+  @Test
+  void rejectsDifferentContentLengths() throws IOException {
+    String answers =
+        exchange(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n12345");
+    assertThat(answers).startsWith("HTTP/1.1 400");
+    assertThat(handled.get()).isEqualTo(0);
+  }
+
+  @Test
+  void rejectsASpaceBeforeTheColonOfAField() throws IOException {
+    String answers =
+        exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabcGET / HTTP/1.1\r\n");
+    assertThat(answers).startsWith("HTTP/1.1 400");
+    assertThat(handled.get()).isEqualTo(0);
+  }
+
+  @Test
+  void answersRequestsInOrderAndClosesWhileDraining() throws IOException {
+    server.drain();
+    String answers = exchange("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    assertThat(answers).startsWith("HTTP/1.1 200");
+    assertThat(answers.toLowerCase(java.util.Locale.ROOT)).contains("connection: close");
+  }
+
+  /** Sends bytes and returns everything until the server closes. */
+  private String exchange(String bytes) throws IOException {
+    int port = server.start().join();
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -0,0 +1,165 @@
+package org.buckthornferry.testing;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.buckthornferry.store.SharedStore;
+import org.buckthornferry.store.StoreChange;
+import org.buckthornferry.store.StoreChanges;
+import org.buckthornferry.store.StoreException;
+import org.buckthornferry.store.StoreException.Kind;
+import org.buckthornferry.store.StoreItem;
+import org.buckthornferry.store.StorePage;
+
+/** A shared store in memory whose history can be forgotten and whose calls can be made to fail. */
+public final class FakeSharedStore implements SharedStore {
+  private static final int PAGE_ITEMS = 3;
+
+  private final TreeMap<String, StoreItem> items = new TreeMap<>();
+  private final List<StoreItem> history = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision = 1;
+  private long forgottenRevision;
+  private long nextLease = 100;
+  private Kind failure;
+  private int calls;
+
+  private record Watch(String prefix, long after, CompletableFuture<StoreChanges> result) {}
+
+  /** Lets all further calls fail, or succeed again with null. */
+  public void failWith(Kind kind) {
+    failure = kind;
+  }
+
+  /** Returns the number of calls so far. */
+  public int calls() {
+    return calls;
+  }
+
+  /** Writes a key as another client would. */
+  public void put(String key, String value) {
+    revision++;
+    change(new StoreItem(key, value.getBytes(StandardCharsets.UTF_8), revision));
+  }
+
+  /** Removes a key as another client would. */
+  public void remove(String key) {
+    revision++;
+    change(StoreItem.removal(key, revision));
+  }
+
+  /** Forgets all changes up to now and cuts the waiting watches. */
+  public void forgetHistory() {
+    history.clear();
+    forgottenRevision = revision;
+    endWatches(Kind.OUTCOME_UNKNOWN);
+  }
+
+  /** Ends the waiting watches: with an answer without changes, or with a failure. */
+  public void endWatches(Kind kind) {
+    List<Watch> ending = List.copyOf(watches);
+    watches.clear();
+    for (Watch watch : ending) {
+      if (kind == null) {
+        watch.result.complete(new StoreChanges(List.of(), revision));
+      } else {
+        watch.result.completeExceptionally(new StoreException(kind, "cut"));
+      }
+    }
+  }
+
+  private void change(StoreItem item) {
+    if (item.isRemoval()) {
+      items.remove(item.key());
+    } else {
+      items.put(item.key(), item);
+    }
+    history.add(item);
+    List<Watch> due = new ArrayList<>(watches);
+    for (Watch watch : due) {
+      if (item.key().startsWith(watch.prefix) && watches.remove(watch)) {
+        watch.result.complete(new StoreChanges(List.of(item), item.revision()));
+      }
+    }
+  }
+
+  private <T> CompletableFuture<T> failing() {
+    calls++;
+    return failure == null
+        ? null
+        : CompletableFuture.failedFuture(new StoreException(failure, "failing"));
+  }
+
+  @Override
+  public CompletableFuture<StorePage> list(String prefix, String afterKey) {
+    CompletableFuture<StorePage> failed = failing();
+    if (failed != null) {
+      return failed;
+    }
+    List<StoreItem> found = new ArrayList<>();
+    for (StoreItem item : items.values()) {
+      if (item.key().startsWith(prefix) && item.key().compareTo(afterKey) > 0) {
+        found.add(item);
+      }
+    }
+    boolean hasMore = found.size() > PAGE_ITEMS;
+    List<StoreItem> page = hasMore ? found.subList(0, PAGE_ITEMS) : found;
+    return CompletableFuture.completedFuture(new StorePage(page, hasMore, revision));
+  }
+
+  @Override
+  public CompletableFuture<StoreChanges> watch(String prefix, long after, long waitMillis) {
+    CompletableFuture<StoreChanges> failed = failing();
+    if (failed != null) {
+      return failed;
+    }
+    if (after < forgottenRevision) {
+      return CompletableFuture.failedFuture(new StoreException(Kind.HISTORY_LOST, "forgotten"));
+    }
+    List<StoreItem> newer = new ArrayList<>();
+    for (StoreItem item : history) {
+      if (item.revision() > after && item.key().startsWith(prefix)) {
+        newer.add(item);
+      }
+    }
+    if (!newer.isEmpty()) {
+      return CompletableFuture.completedFuture(new StoreChanges(newer, revision));
+    }
+    CompletableFuture<StoreChanges> result = new CompletableFuture<>();
+    watches.add(new Watch(prefix, after, result));
+    return result;
+  }
+
+  @Override
+  public CompletableFuture<Long> apply(StoreChange change) {
+    CompletableFuture<Long> failed = failing();
+    if (failed != null) {
+      return failed;
+    }
+    revision++;
+    for (StoreChange.Write write : change.writes()) {
+      change(new StoreItem(write.key(), write.value(), revision));
+    }
+    return CompletableFuture.completedFuture(revision);
+  }
+
+  @Override
+  public CompletableFuture<Long> grantLease(long ttlMillis) {
+    CompletableFuture<Long> failed = failing();
+    return failed != null ? failed : CompletableFuture.completedFuture(nextLease++);
+  }
+
+  @Override
+  public CompletableFuture<Void> renewLease(long leaseId) {
+    CompletableFuture<Void> failed = failing();
+    return failed != null ? failed : CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public CompletableFuture<Void> endLease(long leaseId) {
+    CompletableFuture<Void> failed = failing();
+    return failed != null ? failed : CompletableFuture.completedFuture(null);
+  }
+}
