Give instances that the store turns away the copies of others

Cause: an instance that the store rejects while it serves the others kept its last configuration, although the bound for configuration is only stretched then.

Change: while its calls fail an instance asks one other at a time for copies with a newer revision. Peers are known from the registry and the seeds.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/DeploymentController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/DeploymentController.java
@@ -128,7 +128,7 @@
   }
 
   private void onEndpointItems() {
-    tracker.update(endpointItems.items(), endpointItems.isReachable(), clock.nanoTime());
+    tracker.update(endpointItems.items(), clock.nanoTime());
     publish();
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointTracker.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointTracker.java
@@ -25,14 +25,12 @@
 
   private final BiFunction<StoreItem, Long, Optional<Endpoint>> decoder;
   private final Map<String, Known> known = new HashMap<>();
-  private final Map<String, Missing> missing = new HashMap<>();
+  private final Map<String, Endpoint> missing = new HashMap<>();
   private long graceUntilNanos;
   private boolean inGrace;
 
   private record Known(long revision, Optional<Endpoint> endpoint) {}
 
-  private record Missing(Endpoint endpoint, long untilNanos) {}
-
   EndpointTracker(BiFunction<StoreItem, Long, Optional<Endpoint>> decoder) {
     this.decoder = decoder;
   }
@@ -41,11 +39,10 @@
   void onStoreBack(long nowNanos) {
     inGrace = true;
     graceUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(LAPSE_GRACE_MILLIS);
-    missing.replaceAll((key, entry) -> new Missing(entry.endpoint, graceUntilNanos));
   }
 
   /** Takes over the registrations. */
-  void update(Collection<StoreItem> items, boolean storeReachable, long nowNanos) {
+  void update(Collection<StoreItem> items, long nowNanos) {
     if (inGrace && graceUntilNanos - nowNanos <= 0) {
       inGrace = false;
     }
@@ -63,27 +60,25 @@
       logChange(item, last, read);
     }
     for (Map.Entry<String, Known> gone : before.entrySet()) {
-      boolean mayHaveLapsed = inGrace || !storeReachable;
-      LOG.infof("endpoint.gone key=%s mayHaveLapsed=%s", gone.getKey(), mayHaveLapsed);
-      if (mayHaveLapsed && gone.getValue().endpoint.isPresent()) {
-        long untilNanos = inGrace ? graceUntilNanos : Long.MAX_VALUE;
-        missing.put(gone.getKey(), new Missing(gone.getValue().endpoint.get(), untilNanos));
+      LOG.infof("endpoint.gone key=%s mayHaveLapsed=%s", gone.getKey(), inGrace);
+      if (inGrace && gone.getValue().endpoint.isPresent()) {
+        missing.put(gone.getKey(), gone.getValue().endpoint.get());
       }
     }
   }
 
   /** Returns the endpoints that may get requests. */
   List<Endpoint> usable(Set<String> evacuatedDomains, long nowNanos) {
-    missing
-        .values()
-        .removeIf(entry -> entry.untilNanos != Long.MAX_VALUE && entry.untilNanos - nowNanos <= 0);
+    if (graceUntilNanos - nowNanos <= 0) {
+      missing.clear();
+    }
     List<Endpoint> usable = new ArrayList<>();
     for (Known entry : known.values()) {
       entry.endpoint.filter(e -> isUsable(e, evacuatedDomains)).ifPresent(usable::add);
     }
-    for (Missing entry : missing.values()) {
-      if (isUsable(entry.endpoint, evacuatedDomains)) {
-        usable.add(entry.endpoint);
+    for (Endpoint endpoint : missing.values()) {
+      if (isUsable(endpoint, evacuatedDomains)) {
+        usable.add(endpoint);
       }
     }
     return usable;
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -1,7 +1,10 @@
 package org.buckthornferry.fleet;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.TreeMap;
@@ -10,6 +13,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.http.Addresses;
 import org.buckthornferry.store.SharedStore;
 import org.buckthornferry.store.StoreChange;
 import org.buckthornferry.store.StoreException;
@@ -95,13 +99,13 @@
     return store.endLease(leaseId.getAsLong());
   }
 
-  /** Returns the peer addresses of the other instances by id. */
-  Map<String, String> peerAddresses() {
-    Map<String, String> addresses = new TreeMap<>();
+  /** Returns where the other instances listen for peers. */
+  public List<InetSocketAddress> peerAddresses() {
+    List<InetSocketAddress> addresses = new ArrayList<>();
     instances.forEach(
         (id, instance) -> {
           if (!id.equals(selfId)) {
-            addresses.put(id, instance.peerAddress());
+            addresses.add(Addresses.parse(instance.peerAddress()));
           }
         });
     return addresses;
@@ -194,8 +198,10 @@
 
   private static void collect(StoreItem item, Map<String, InstanceRecord> collected) {
     try {
-      collected.put(item.key().substring(PREFIX.length()), InstanceRecord.decode(item.value()));
-    } catch (IOException e) {
+      InstanceRecord instance = InstanceRecord.decode(item.value());
+      Addresses.parse(instance.peerAddress());
+      collected.put(item.key().substring(PREFIX.length()), instance);
+    } catch (IOException | IllegalArgumentException e) {
       LOG.warnf("instance.unreadable key=%s reason=%s", item.key(), e.getMessage());
     }
   }
@@ -208,8 +214,7 @@
     TreeMap<String, InstanceRecord> withSelf = new TreeMap<>(read);
     withSelf.putIfAbsent(selfId, new InstanceRecord(peerAddress, Map.of()));
     viewWriter.accept(
-        new FleetView(
-            java.util.List.copyOf(withSelf.keySet()), shares(demand.get(), selfId, withSelf)));
+        new FleetView(List.copyOf(withSelf.keySet()), shares(demand.get(), selfId, withSelf)));
     onChanged.run();
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -1,6 +1,8 @@
 package org.buckthornferry.node;
 
 import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultithreadEventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -8,9 +10,11 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +29,7 @@
 import org.buckthornferry.fleet.DeploymentSource;
 import org.buckthornferry.fleet.InstanceRegistry;
 import org.buckthornferry.fleet.OperatingBounds;
+import org.buckthornferry.fleet.ViewExchange;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.HttpLimits;
@@ -71,6 +76,7 @@
   private final Relay relay;
   private final DeploymentController deployment;
   private final InstanceRegistry instances;
+  private final ViewExchange views;
   private final HttpServer callerServer;
   private final List<HttpServer> servers = new ArrayList<>();
   private volatile boolean draining;
@@ -123,6 +129,14 @@
             relay::refresh,
             scheduler,
             random);
+    this.views =
+        new ViewExchange(
+            settings.peerAddress(),
+            eventLoops,
+            deployment,
+            this::otherInstances,
+            scheduler,
+            random);
     this.callerServer =
         new HttpServer(
             settings.callerAddress(),
@@ -146,6 +160,7 @@
         () -> {
           deployment.start();
           instances.start();
+          views.start();
         });
     List<CompletableFuture<Integer>> started = new ArrayList<>();
     servers.forEach(server -> started.add(server.start()));
@@ -195,10 +210,18 @@
       return;
     }
     deployment.stop();
+    views.stop();
     LOG.infof("instance.stopped inProgress=%d elapsedMillis=%d", relay.inProgress(), elapsedMillis);
     stopped.complete(null);
   }
 
+  private List<InetSocketAddress> otherInstances() {
+    Set<InetSocketAddress> addresses = new LinkedHashSet<>(instances.peerAddresses());
+    addresses.addAll(settings.seeds());
+    addresses.remove(settings.peerAddress());
+    return List.copyOf(addresses);
+  }
+
   private HttpServer internalServer(InetSocketAddress address) {
     return new HttpServer(
         address, HttpLimits.INTERNAL, Optional.empty(), eventLoops, this::onInternalRequest);
@@ -239,8 +262,7 @@
   }
 
   private String describe() {
-    com.fasterxml.jackson.databind.node.ObjectNode node =
-        com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.objectNode();
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("configVersion", blackboard.read(Catalog.ENTRY).version());
     node.put("storeReachable", deployment.isStoreReachable());
     node.put("inProgress", relay.inProgress());
--- a/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -92,6 +92,11 @@
     state = State.STOPPED;
   }
 
+  /** Returns the prefix of the keys that are followed. */
+  public String prefix() {
+    return prefix;
+  }
+
   /** Returns the items of the copy, ordered by key. */
   public Collection<StoreItem> items() {
     return items.values();
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointTrackerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointTrackerTest.java
@@ -17,38 +17,38 @@
   @Test
   void leavesOutDrainingEndpointsAndEvacuatedDomains() {
     tracker.update(
-        List.of(item("a ready z1", 1), item("b draining z1", 2), item("c ready z2", 3)), true, 0);
+        List.of(item("a ready z1", 1), item("b draining z1", 2), item("c ready z2", 3)), 0);
     assertThat(ids(Set.of(), 0)).containsExactly("a", "c");
     assertThat(ids(Set.of("z2"), 0)).containsExactly("a");
   }
 
   @Test
   void anEndpointIsGoneAtOnceWhenItsRegistrationIsRemoved() {
-    tracker.update(List.of(item("a ready z1", 1)), true, 0);
-    tracker.update(List.of(), true, millis(1));
+    tracker.update(List.of(item("a ready z1", 1)), 0);
+    tracker.update(List.of(), millis(1));
     assertThat(ids(Set.of(), millis(1))).isEmpty();
   }
 
   @Test
   void aRegistrationThatLapsedInAnOutageCountsUntilItCouldBeBack() {
-    tracker.update(List.of(item("a ready z1", 1)), true, 0);
+    tracker.update(List.of(item("a ready z1", 1)), 0);
     tracker.onStoreBack(millis(5_000));
-    tracker.update(List.of(), true, millis(5_010));
+    tracker.update(List.of(), millis(5_010));
     assertThat(ids(Set.of(), millis(5_010))).containsExactly("a");
     assertThat(ids(Set.of(), millis(5_000 + EndpointTracker.LAPSE_GRACE_MILLIS))).isEmpty();
   }
 
   @Test
   void anEndpointThatReportedDrainingBeforeItLapsedIsNotUsed() {
-    tracker.update(List.of(item("a draining z1", 1)), true, 0);
+    tracker.update(List.of(item("a draining z1", 1)), 0);
     tracker.onStoreBack(millis(5_000));
-    tracker.update(List.of(), true, millis(5_010));
+    tracker.update(List.of(), millis(5_010));
     assertThat(ids(Set.of(), millis(5_010))).isEmpty();
   }
 
   @Test
   void aRegistrationThatCannotBeReadNamesNoEndpoint() {
-    tracker.update(List.of(item("a unreadable z1", 1), item("b ready z1", 2)), true, 0);
+    tracker.update(List.of(item("a unreadable z1", 1), item("b ready z1", 2)), 0);
     assertThat(ids(Set.of(), 0)).containsExactly("b");
   }
 
