Wake up when a cold endpoint may take its next request

Cause: the gate of a cold endpoint gave its turn away while endpoints were still being compared, and nothing woke the dispatcher when the next turn came. An instance that knew no others took the whole rate. Change: the gate tells when it opens, and a turn is used only by the request that is placed. The test of an instance that knows no others failed before.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/ColdGate.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/ColdGate.java
@@ -12,33 +12,42 @@
   /** Each chosen instance gets about this rate, so that its share is not mostly rounding. */
   private static final double REQUESTS_PER_SECOND_EACH = 1;
 
+  /** Assumed to send as well while the other instances are unknown. */
+  private static final int UNKNOWN_SHARERS = 16;
+
+  private long intervalNanos;
   private long nextNanos;
   private boolean started;
 
   /**
-   * Takes the right to send one request.
+   * Returns when the next request may be sent, or {@link Dispatcher#NEVER} when this instance is
+   * not among the chosen ones.
    *
    * @param perSecond the rate that the endpoint bears from all instances together
    * @param instanceIds the live instances; when empty, this one takes the part of many
    */
-  boolean tryTake(
+  long openNanos(
       String endpointId, double perSecond, String selfId, List<String> instanceIds, long nowNanos) {
     int sharers = (int) Math.max(1, Math.floor(perSecond / REQUESTS_PER_SECOND_EACH));
-    sharers = Math.min(sharers, Math.max(1, instanceIds.size()));
+    if (instanceIds.isEmpty()) {
+      sharers = UNKNOWN_SHARERS;
+    } else {
+      sharers = Math.min(sharers, instanceIds.size());
+    }
     if (rank(endpointId, selfId, instanceIds) >= sharers) {
-      return false;
+      return Dispatcher.NEVER;
     }
-    long intervalNanos = (long) (TimeUnit.SECONDS.toNanos(1) * sharers / perSecond);
+    intervalNanos = (long) (TimeUnit.SECONDS.toNanos(1) * sharers / perSecond);
     if (!started) {
       started = true;
       nextNanos = nowNanos + intervalNanos;
-      return false;
-    }
-    if (nextNanos - nowNanos > 0) {
-      return false;
     }
+    return nextNanos;
+  }
+
+  /** Counts a request that is being sent. */
+  void onSent(long nowNanos) {
     nextNanos = nowNanos + intervalNanos;
-    return true;
   }
 
   /** Returns how many instances come before this one in the order for an endpoint. */
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -169,7 +169,7 @@
         }
         continue;
       }
-      place(request, choice.load);
+      place(request, choice.load, nowNanos);
     }
     return nextNanos;
   }
@@ -186,10 +186,10 @@
 
   private record Choice(EndpointLoad load, long nextNanos) {}
 
-  private void place(WaitingRequest request, EndpointLoad load) {
+  private void place(WaitingRequest request, EndpointLoad load, long nowNanos) {
     boolean reserves = service.reservations().isPresent();
     line.remove(request);
-    load.onPlaced(reserves);
+    load.onPlaced(reserves, nowNanos);
     request.listener().onPlaced(new Placement(request, load.endpoint(), reserves));
   }
 
@@ -206,13 +206,16 @@
       if (!request.mayUse(load.endpoint().id()) || !load.hasRoom(ownLimit(load))) {
         continue;
       }
-      long freeNanos = load.freeNanos(rankPauseNanos);
-      if (freeNanos - nowNanos > 0) {
+      long freeNanos =
+          Math.max(
+              load.freeNanos(rankPauseNanos),
+              load.warmEnoughNanos(service, selfId, instanceIds, nowNanos));
+      if (freeNanos == NEVER || freeNanos - nowNanos > 0) {
         nextNanos = Math.min(nextNanos, freeNanos);
         continue;
       }
       double score = score(load, request, common);
-      if (score < bestScore && load.passesColdGate(service, selfId, instanceIds, nowNanos)) {
+      if (score < bestScore) {
         best = load;
         bestScore = score;
       }
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
@@ -91,16 +91,22 @@
     return !isProbing || (reserving == 0 && (failures == 0 || running == 0));
   }
 
-  /** Takes the right to send a request when the endpoint is cold. */
-  boolean passesColdGate(Service service, String selfId, List<String> instanceIds, long nowNanos) {
-    if (service.coldPerSecond() <= 0 || coldUntilNanos - nowNanos <= 0) {
-      return true;
+  /** Returns when a request may be sent as far as coldness is concerned; in the past when warm. */
+  long warmEnoughNanos(Service service, String selfId, List<String> instanceIds, long nowNanos) {
+    if (!isCold(service, nowNanos)) {
+      return nowNanos;
     }
-    return coldGate.tryTake(endpoint.id(), service.coldPerSecond(), selfId, instanceIds, nowNanos);
+    return coldGate.openNanos(
+        endpoint.id(), service.coldPerSecond(), selfId, instanceIds, nowNanos);
   }
 
-  void onPlaced(boolean reserves) {
+  private boolean isCold(Service service, long nowNanos) {
+    return service.coldPerSecond() > 0 && coldUntilNanos - nowNanos > 0;
+  }
+
+  void onPlaced(boolean reserves, long nowNanos) {
     running++;
+    coldGate.onSent(nowNanos);
     if (reserves) {
       reserving++;
     }
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/ColdGateTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/ColdGateTest.java
@@ -18,8 +18,8 @@
   @Test
   void startsEmptySoThatARestartGainsNothing() {
     ColdGate gate = new ColdGate();
-    assertThat(gate.tryTake("e1", PER_SECOND, "i0", List.of("i0"), 0)).isFalse();
-    assertThat(gate.tryTake("e1", PER_SECOND, "i0", List.of("i0"), millis(300))).isTrue();
+    assertThat(tryTake(gate, "i0", List.of("i0"), 0)).isFalse();
+    assertThat(tryTake(gate, "i0", List.of("i0"), millis(300))).isTrue();
   }
 
   @Test
@@ -28,14 +28,22 @@
     int senders = 0;
     for (String id : ids) {
       ColdGate gate = new ColdGate();
-      gate.tryTake("e1", PER_SECOND, id, ids, 0);
-      if (gate.tryTake("e1", PER_SECOND, id, ids, millis(10_000))) {
+      tryTake(gate, id, ids, 0);
+      if (tryTake(gate, id, ids, millis(10_000))) {
         senders++;
       }
     }
     assertThat(senders).isEqualTo(5);
   }
 
+  @Test
+  void anInstanceThatKnowsNoOthersTakesASmallPart() {
+    ColdGate gate = new ColdGate();
+    tryTake(gate, "i0", List.of(), 0);
+    assertThat(tryTake(gate, "i0", List.of(), millis(2_000))).isFalse();
+    assertThat(tryTake(gate, "i0", List.of(), millis(4_000))).isTrue();
+  }
+
   /** Instances press at once, restart, and see different sets of the others. */
   @Test
   void allInstancesTogetherKeepTheBoundInEachSecond() {
@@ -52,7 +60,7 @@
         }
         boolean missesOne = random.nextInt(10) == 0;
         List<String> seen = missesOne ? ids.subList(0, 7) : ids;
-        if (gates[instance].tryTake("e1", PER_SECOND, ids.get(instance), seen, millis(now))) {
+        if (tryTake(gates[instance], ids.get(instance), seen, millis(now))) {
           sent.add(now);
         }
       }
@@ -66,6 +74,15 @@
     }
   }
 
+  private static boolean tryTake(
+      ColdGate gate, String instanceId, List<String> instanceIds, long nowNanos) {
+    if (gate.openNanos("e1", PER_SECOND, instanceId, instanceIds, nowNanos) > nowNanos) {
+      return false;
+    }
+    gate.onSent(nowNanos);
+    return true;
+  }
+
   private static long millis(long millis) {
     return TimeUnit.MILLISECONDS.toNanos(millis);
   }
