Keep allowances while instances are cut off and demand moves

Change: an instance that vanishes from the list keeps its part for ten seconds; one that cannot list for longer goes on with a quarter; parts follow published demand, grow by a fifth a period and shrink at once; a smaller part of the excess is used at once.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -20,6 +21,7 @@
 import org.buckthornferry.store.StoreException.Kind;
 import org.buckthornferry.store.StoreItem;
 import org.buckthornferry.util.Completions;
+import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
 import org.jboss.logging.Logger;
 
@@ -42,7 +44,22 @@
   private static final int LEASE_PERIODS = 3;
 
   /** The part of an allowance that is divided equally, so that new demand finds some. */
-  private static final double EQUAL_SHARE = 0.3;
+  private static final double EQUAL_SHARE = 0.4;
+
+  /**
+   * How long an instance that is no longer listed keeps its part, in milliseconds. It may be cut
+   * off from the store and go on; outages last about as long.
+   */
+  private static final long VANISHED_MILLIS = 10_000;
+
+  /** The part that an instance goes on with when it has been cut off for longer than that. */
+  private static final double CUT_OFF_SHARE = 0.25;
+
+  /**
+   * How much a part grows in one period at most. Parts shrink at once, but the others learn of new
+   * demand up to one period later, and until then they still use their former parts.
+   */
+  private static final double GROWTH = 1.2;
 
   /** A demand that has changed by less than this part of the total is not written again. */
   private static final double WRITE_THRESHOLD = 0.1;
@@ -54,12 +71,19 @@
   private final Consumer<FleetView> viewWriter;
   private final Runnable onChanged;
   private final Scheduler scheduler;
+  private final MonotonicClock clock;
   private final RandomGenerator random;
+  private final Map<String, Vanished> vanished = new HashMap<>();
   private Map<String, InstanceRecord> instances = Map.of();
   private Map<String, Double> writtenDemand = Map.of();
   private OptionalLong leaseId = OptionalLong.empty();
+  private Map<String, Double> lastShares = Map.of();
+  private long confirmedNanos;
+  private boolean isCutOff;
   private boolean stopped;
 
+  private record Vanished(InstanceRecord instance, long untilNanos) {}
+
   /**
    * Creates a registry that does nothing yet.
    *
@@ -74,6 +98,7 @@
       Blackboard blackboard,
       Runnable onChanged,
       Scheduler scheduler,
+      MonotonicClock clock,
       RandomGenerator random) {
     this.store = store;
     this.selfId = selfId;
@@ -82,6 +107,7 @@
     this.viewWriter = blackboard.writerOf(FleetView.ENTRY);
     this.onChanged = onChanged;
     this.scheduler = scheduler;
+    this.clock = clock;
     this.random = random;
   }
 
@@ -183,6 +209,7 @@
         (page, failure) -> {
           if (failure != null) {
             LOG.infof("instance.listing_failed reason=%s", failure.getMessage());
+            onListingFailed();
             again();
             return;
           }
@@ -210,11 +237,49 @@
     if (!read.keySet().equals(instances.keySet())) {
       LOG.infof("instances.changed count=%d previous=%d", read.size(), instances.size());
     }
+    long nowNanos = clock.nanoTime();
+    long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(VANISHED_MILLIS);
+    instances.forEach(
+        (id, instance) -> {
+          if (!read.containsKey(id) && !id.equals(selfId)) {
+            vanished.putIfAbsent(id, new Vanished(instance, untilNanos));
+          }
+        });
+    vanished
+        .entrySet()
+        .removeIf(
+            entry ->
+                read.containsKey(entry.getKey()) || entry.getValue().untilNanos - nowNanos <= 0);
     instances = Map.copyOf(read);
-    TreeMap<String, InstanceRecord> withSelf = new TreeMap<>(read);
-    withSelf.putIfAbsent(selfId, new InstanceRecord(peerAddress, Map.of()));
-    viewWriter.accept(
-        new FleetView(List.copyOf(withSelf.keySet()), shares(demand.get(), selfId, withSelf)));
+    confirmedNanos = nowNanos;
+    isCutOff = false;
+    publish(1);
+  }
+
+  /** Gives up most of this instance's part when the others may have divided it among them. */
+  private void onListingFailed() {
+    long ageMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - confirmedNanos);
+    boolean isNowCutOff = ageMillis > LEASE_PERIODS * periodMillis() + VANISHED_MILLIS / 2;
+    if (isNowCutOff && !isCutOff && !instances.isEmpty()) {
+      isCutOff = true;
+      LOG.warnf("instance.cut_off listingAgeMillis=%d share=%.2f", ageMillis, CUT_OFF_SHARE);
+      publish(CUT_OFF_SHARE);
+    }
+  }
+
+  private void publish(double part) {
+    Map<String, InstanceRecord> counted = new TreeMap<>(instances);
+    vanished.forEach((id, entry) -> counted.put(id, entry.instance));
+    counted.putIfAbsent(selfId, new InstanceRecord(peerAddress, Map.of()));
+    Map<String, Double> target = shares(writtenDemand, selfId, counted);
+    target.replaceAll(
+        (name, share) -> Math.min(share, GROWTH * lastShares.getOrDefault(name, 1.0)));
+    lastShares = Map.copyOf(target);
+    Map<String, Double> shares = new HashMap<>();
+    target.forEach((name, share) -> shares.put(name, part * share));
+    TreeMap<String, InstanceRecord> live = new TreeMap<>(instances);
+    live.putIfAbsent(selfId, new InstanceRecord(peerAddress, Map.of()));
+    viewWriter.accept(new FleetView(List.copyOf(live.keySet()), shares));
     onChanged.run();
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -128,6 +128,7 @@
             blackboard,
             relay::refresh,
             scheduler,
+            MonotonicClock.SYSTEM,
             random);
     this.views =
         new ViewExchange(
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -43,7 +43,7 @@
   private static final long NOT_READY_RETRY_MILLIS = 500;
 
   /** The part of the permitted excess that instances use together; the rest covers stale shares. */
-  private static final double ALLOWANCE_SLACK_SHARE = 0.35;
+  private static final double ALLOWANCE_SLACK_SHARE = 0.25;
 
   /** The window in which customers' demand is counted, in milliseconds. */
   private static final long DEMAND_WINDOW_MILLIS = 4_000;
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/AllowanceTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/AllowanceTest.java
@@ -15,7 +15,7 @@
   private static final double SLACK = 190_000;
   private static final long WINDOW_MILLIS = 8_000;
   private static final double OVERRUN = 0.1;
-  private static final double EXTRA_SHARE = 0.35;
+  private static final double EXTRA_SHARE = 0.25;
 
   @Test
   void passesARequestThatIsLargerThanTheBucket() {
@@ -79,7 +79,7 @@
     List<double[]> passed = new ArrayList<>();
     for (long now = 0; now < 30_000; now += 5) {
       int instance = pick(weights, total, random);
-      double share = 0.3 / instances + 0.7 * weights[instance] / total;
+      double share = 0.4 / instances + 0.6 * weights[instance] / total;
       double extra = EXTRA_SHARE * SLACK * share;
       boolean allRestart = now == 12_000;
       if (allRestart) {
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -2,7 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.buckthornferry.store.SharedStore;
@@ -12,6 +14,7 @@
 import org.buckthornferry.store.StoreException.Kind;
 import org.buckthornferry.store.StoreItem;
 import org.buckthornferry.store.StorePage;
+import org.buckthornferry.util.Scheduler;
 
 /** A shared store in memory whose history can be forgotten and whose calls can be made to fail. */
 public final class FakeSharedStore implements SharedStore {
@@ -23,6 +26,21 @@
   private long revision = 1;
   private long forgottenRevision;
   private long nextLease = 100;
+  private final Map<Long, Long> leaseMillis = new HashMap<>();
+  private final Map<Long, Scheduler.Task> leaseEnds = new HashMap<>();
+  private final Map<String, Long> leaseOfKey = new HashMap<>();
+  private final Scheduler scheduler;
+
+  /** Creates a store whose leases never end. */
+  public FakeSharedStore() {
+    this((task, delayMillis) -> Scheduler.Task.NONE);
+  }
+
+  /** Creates a store whose leases end by the given time. */
+  public FakeSharedStore(Scheduler scheduler) {
+    this.scheduler = scheduler;
+  }
+
   private Kind failure;
   private int calls;
 
@@ -140,6 +158,7 @@
     }
     revision++;
     for (StoreChange.Write write : change.writes()) {
+      write.leaseId().ifPresent(id -> leaseOfKey.put(write.key(), id));
       change(new StoreItem(write.key(), write.value(), revision));
     }
     return CompletableFuture.completedFuture(revision);
@@ -148,18 +167,56 @@
   @Override
   public CompletableFuture<Long> grantLease(long ttlMillis) {
     CompletableFuture<Long> failed = failing();
-    return failed != null ? failed : CompletableFuture.completedFuture(nextLease++);
+    if (failed != null) {
+      return failed;
+    }
+    long leaseId = nextLease++;
+    leaseMillis.put(leaseId, ttlMillis);
+    keep(leaseId);
+    return CompletableFuture.completedFuture(leaseId);
   }
 
   @Override
   public CompletableFuture<Void> renewLease(long leaseId) {
     CompletableFuture<Void> failed = failing();
-    return failed != null ? failed : CompletableFuture.completedFuture(null);
+    if (failed != null) {
+      return failed;
+    }
+    if (!leaseMillis.containsKey(leaseId)) {
+      return CompletableFuture.failedFuture(new StoreException(Kind.LEASE_EXPIRED, "ended"));
+    }
+    keep(leaseId);
+    return CompletableFuture.completedFuture(null);
   }
 
   @Override
   public CompletableFuture<Void> endLease(long leaseId) {
     CompletableFuture<Void> failed = failing();
-    return failed != null ? failed : CompletableFuture.completedFuture(null);
+    if (failed != null) {
+      return failed;
+    }
+    end(leaseId);
+    return CompletableFuture.completedFuture(null);
+  }
+
+  private void keep(long leaseId) {
+    Scheduler.Task before =
+        leaseEnds.put(leaseId, scheduler.schedule(() -> end(leaseId), leaseMillis.get(leaseId)));
+    if (before != null) {
+      before.cancel();
+    }
+  }
+
+  private void end(long leaseId) {
+    leaseMillis.remove(leaseId);
+    List<String> keys =
+        leaseOfKey.entrySet().stream()
+            .filter(entry -> entry.getValue() == leaseId)
+            .map(Map.Entry::getKey)
+            .toList();
+    for (String key : keys) {
+      leaseOfKey.remove(key);
+      remove(key);
+    }
   }
 }
