--- a/buckthornferry/src/main/java/org/buckthornferry/catalog/Catalog.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Catalog.java
@@ -2,10 +2,12 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.buckthornferry.control.BlackboardEntry;
 import org.buckthornferry.http.HttpLimits;
 
@@ -80,6 +82,13 @@
     return Optional.ofNullable(customersByKey.get(key));
   }
 
+  /** Returns the names of all routes. */
+  public Set<String> routeNames() {
+    Set<String> names = new HashSet<>();
+    routesByHost.values().forEach(routes -> routes.values().forEach(r -> names.add(r.name())));
+    return names;
+  }
+
   /** Returns all services. */
   public Collection<Service> services() {
     return services.values();
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -31,18 +31,21 @@
   /** The most waiting requests; beyond it the newest is refused. */
   private static final int MAX_WAITING = 512;
 
-  /** The part of a request's time during which it waits; a refusal after that is of little use. */
-  private static final double PATIENCE_SHARE = 0.45;
-
   /** The part of the time left after which a caller still comes back. */
-  private static final double RETURN_SHARE = 0.3;
+  private static final double RETURN_SHARE = 0.32;
+
+  /** How long a request waits at least, in milliseconds; several turns of a slot. */
+  private static final long MIN_PATIENCE_MILLIS = 300;
+
+  /** The part of the time left that a request waits whose caller has come back. */
+  private static final double RETURNED_PATIENCE_SHARE = 0.25;
+
+  /** The part of the time left that a request waits at most, whatever its goal. */
+  private static final double MAX_PATIENCE_SHARE = 0.4;
 
   /** The shortest time to come back, in milliseconds; about one slot's turn. */
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
-  /** The window in which starts are counted, in milliseconds. */
-  private static final long RATE_WINDOW_MILLIS = 2_000;
-
   /** How many waiting requests are tried when the first ones fit no free endpoint. */
   private static final int MAX_TRIED = 8;
 
@@ -60,7 +63,6 @@
   private final RandomGenerator random;
   private final Map<String, EndpointLoad> endpoints = new HashMap<>();
   private final WaitingLine line = new WaitingLine();
-  private final SlidingCount starts = new SlidingCount(RATE_WINDOW_MILLIS);
   private Service service;
   private List<String> instanceIds = List.of();
 
@@ -115,7 +117,18 @@
   /** Adds a request to the line, or refuses it at once when it would wait for too long. */
   public void submit(WaitingRequest request, long nowNanos) {
     if (line.size() >= MAX_WAITING) {
-      refuse(request, ErrorKind.QUEUE_FULL, "too many requests wait", nowNanos);
+      refuse(request, ErrorKind.QUEUE_FULL, "too many requests wait", 0, nowNanos);
+      return;
+    }
+    // A caller that learns at once that it would be late can use its time elsewhere.
+    double waitMillis = request.isCounted() ? 0 : line.expectedWaitMillis(request, nowNanos);
+    if (waitMillis > patienceMillis(request)) {
+      refuse(
+          request,
+          ErrorKind.SHED,
+          String.format("%d requests wait, %.0f ms expected", line.size(), waitMillis),
+          waitMillis,
+          nowNanos);
       return;
     }
     line.add(request, nowNanos);
@@ -129,7 +142,6 @@
   /** The request is being sent, after its slot was granted where one had to be reserved. */
   public void onSent(Placement placement, long nowNanos) {
     line.onStarted(placement.request(), nowNanos);
-    starts.add(1, nowNanos);
     if (placement.reservesFirst()) {
       load(placement).ifPresent(EndpointLoad::onReserved);
     }
@@ -259,17 +271,33 @@
       if (patienceEndNanos(request) - nowNanos <= 0) {
         requests.remove();
         ErrorKind reason = hasEndpoints() ? ErrorKind.DEADLINE_UNREACHABLE : ErrorKind.NO_ENDPOINT;
-        refuse(request, reason, "no endpoint had a free slot in time", nowNanos);
+        refuse(
+            request,
+            reason,
+            "no endpoint had a free slot in time",
+            line.expectedWaitMillis(request, nowNanos),
+            nowNanos);
       }
     }
   }
 
   private long patienceEndNanos(WaitingRequest request) {
-    if (request.isContinuation()) {
-      return request.deadlineNanos();
+    return request.isContinuation()
+        ? request.deadlineNanos()
+        : request.arrivalNanos() + TimeUnit.MILLISECONDS.toNanos(patienceMillis(request));
+  }
+
+  /** Returns how long a request waits: until it would be late, or for a part of its time. */
+  private long patienceMillis(WaitingRequest request) {
+    long totalMillis =
+        TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - request.arrivalNanos());
+    if (request.hasReturned()) {
+      return (long) Math.max(MIN_PATIENCE_MILLIS, RETURNED_PATIENCE_SHARE * totalMillis);
     }
-    long totalNanos = request.deadlineNanos() - request.arrivalNanos();
-    return request.arrivalNanos() + (long) (PATIENCE_SHARE * totalNanos);
+    long goalMillis = TimeUnit.NANOSECONDS.toMillis(request.goalNanos() - request.arrivalNanos());
+    double onTimeMillis = goalMillis - bestFirstMillis(request.promptTokens());
+    double limitMillis = Math.min(onTimeMillis, MAX_PATIENCE_SHARE * totalMillis);
+    return (long) Math.max(MIN_PATIENCE_MILLIS, limitMillis);
   }
 
   private long latestStartNanos(WaitingRequest request) {
@@ -277,15 +305,14 @@
         - (long) (bestFirstMillis(request.promptTokens()) * TimeUnit.MILLISECONDS.toNanos(1));
   }
 
-  private void refuse(WaitingRequest request, ErrorKind reason, String detail, long nowNanos) {
+  private void refuse(
+      WaitingRequest request, ErrorKind reason, String detail, double waitMillis, long nowNanos) {
     long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
-    double perMillis = Math.max(0.5, starts.sum(nowNanos)) / RATE_WINDOW_MILLIS;
-    double clearedMillis = (line.size() + 1) / perMillis;
     double latestMillis = Math.max(MIN_RETRY_AFTER_MILLIS, RETURN_SHARE * leftMillis);
-    double millis = Math.min(latestMillis, Math.max(MIN_RETRY_AFTER_MILLIS, clearedMillis));
-    request
-        .listener()
-        .onRefused(reason, detail, (long) (millis * (0.7 + 0.3 * random.nextDouble())));
+    double millis = Math.min(latestMillis, Math.max(MIN_RETRY_AFTER_MILLIS, waitMillis));
+    // Spread, so that those who were refused together do not come back together.
+    double spread = 0.6 + 0.4 * random.nextDouble();
+    request.listener().onRefused(reason, detail, (long) (millis * spread));
   }
 
   private Optional<EndpointLoad> load(Placement placement) {
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingLine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingLine.java
@@ -6,12 +6,13 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.ToLongFunction;
 
 /**
  * The waiting requests of a service. Broken streams come first, then kinds that get less than their
- * guaranteed part, then more important requests; among equals those that can still be on time, and
- * of these the oldest.
+ * guaranteed part, then more important requests; among equals those whose callers have come back,
+ * then those that can still be on time, and of these the oldest.
  */
 final class WaitingLine implements Iterable<WaitingRequest> {
   /** The part of its requests that each kind has served before more important ones go on. */
@@ -32,12 +33,24 @@
     }
   }
 
+  /** The window over which arrivals and starts are counted for estimates, in milliseconds. */
+  private static final long RATE_WINDOW_MILLIS = 2_000;
+
+  /** The part of the starts that less important requests get at least, for estimates. */
+  private static final double LEAST_RATE_SHARE = 0.15;
+
+  private final Map<Integer, SlidingCount> arrivalsByRank = new TreeMap<>();
+  private final SlidingCount starts = new SlidingCount(RATE_WINDOW_MILLIS);
+
   private record Ranked(WaitingRequest request, int group, boolean isLate) {}
 
   void add(WaitingRequest request, long nowNanos) {
     requests.add(request);
     if (request.countOnce()) {
       counts(request).arrived.add(1, nowNanos);
+      arrivalsByRank
+          .computeIfAbsent(request.rank(), rank -> new SlidingCount(RATE_WINDOW_MILLIS))
+          .add(1, nowNanos);
     }
   }
 
@@ -47,6 +60,32 @@
 
   void onStarted(WaitingRequest request, long nowNanos) {
     counts(request).started.add(1, nowNanos);
+    starts.add(1, nowNanos);
+  }
+
+  /**
+   * Returns how long a request that is added now would wait: those before it, at the rate of recent
+   * starts less what more important requests take. 0 while nothing waits.
+   */
+  double expectedWaitMillis(WaitingRequest request, long nowNanos) {
+    int before = 0;
+    for (WaitingRequest other : requests) {
+      if (other.rank() <= request.rank()) {
+        before++;
+      }
+    }
+    if (before == 0) {
+      return 0;
+    }
+    double rate = starts.sum(nowNanos) / RATE_WINDOW_MILLIS;
+    double taken = 0;
+    for (Map.Entry<Integer, SlidingCount> entry : arrivalsByRank.entrySet()) {
+      if (entry.getKey() < request.rank()) {
+        taken += entry.getValue().sum(nowNanos) / RATE_WINDOW_MILLIS;
+      }
+    }
+    double left = Math.max(rate - taken, LEAST_RATE_SHARE * rate);
+    return left <= 0 ? 0 : before / left;
   }
 
   int size() {
@@ -79,6 +118,7 @@
     }
     ranked.sort(
         Comparator.comparingInt(Ranked::group)
+            .thenComparing(entry -> !entry.request().hasReturned())
             .thenComparing(Ranked::isLate)
             .thenComparingLong(entry -> entry.request().arrivalNanos()));
     return ranked.stream().map(Ranked::request).toList();
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
@@ -14,6 +14,7 @@
   private final long arrivalNanos;
   private final long goalNanos;
   private final long deadlineNanos;
+  private final boolean hasReturned;
   private final Listener listener;
   private final Set<String> excludedEndpoints = new HashSet<>();
   private boolean isContinuation;
@@ -41,6 +42,7 @@
    * @param memoryTokens the most tokens that the request occupies at an endpoint
    * @param goalNanos when the first event is still on time
    * @param deadlineNanos when the request is given up
+   * @param hasReturned whether its caller has tried before
    */
   public WaitingRequest(
       String requestId,
@@ -51,6 +53,7 @@
       long arrivalNanos,
       long goalNanos,
       long deadlineNanos,
+      boolean hasReturned,
       Listener listener) {
     this.requestId = requestId;
     this.kindName = kindName;
@@ -60,6 +63,7 @@
     this.arrivalNanos = arrivalNanos;
     this.goalNanos = goalNanos;
     this.deadlineNanos = deadlineNanos;
+    this.hasReturned = hasReturned;
     this.listener = listener;
   }
 
@@ -120,6 +124,15 @@
     return listener;
   }
 
+  /** Returns whether the caller has tried before. */
+  public boolean hasReturned() {
+    return hasReturned;
+  }
+
+  boolean isCounted() {
+    return isCounted;
+  }
+
   boolean isContinuation() {
     return isContinuation;
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -56,6 +56,16 @@
   private final Map<InetSocketAddress, ConcurrentLinkedDeque<IdleChannel>> idle =
       new ConcurrentHashMap<>();
 
+  /** Which idle connections a request may use. */
+  public enum Reuse {
+    /** None; a new connection is opened. */
+    NONE,
+    /** Only those that the server certainly has not closed yet; for requests that run once. */
+    FRESH,
+    /** All; a request on one that the server is closing fails and may be sent again. */
+    ANY
+  }
+
   private record IdleChannel(Channel channel, long reusableUntilNanos) {
     boolean isReusable(long nowNanos) {
       return channel.isActive() && reusableUntilNanos - nowNanos > 0;
@@ -96,10 +106,8 @@
       Map<String, String> headers,
       byte[] body,
       HttpResponseListener listener) {
-    HttpHeaders fields = new DefaultHttpHeaders();
-    headers.forEach(fields::set);
-    fields.set(HttpHeaderNames.HOST, hostHeader(address));
-    return send(address, method, pathAndQuery, fields, body, listener);
+    HttpHeaders fields = fields(address, headers);
+    return send(address, method, pathAndQuery, fields, body, Reuse.FRESH, listener);
   }
 
   /**
@@ -112,6 +120,7 @@
       String pathAndQuery,
       HttpHeaders headers,
       byte[] body,
+      Reuse reuse,
       HttpResponseListener listener) {
     if (body.length > 0 || !method.equals("GET")) {
       headers.setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
@@ -127,7 +136,7 @@
     PendingCall call =
         new PendingCall(
             request, listener, (channel, idleMillis) -> keep(address, channel, idleMillis));
-    Channel reused = takeIdle(address);
+    Channel reused = takeIdle(address, reuse);
     if (reused != null) {
       call.sendOn(reused);
     } else {
@@ -149,8 +158,21 @@
       Map<String, String> headers,
       byte[] body,
       long timeoutMillis) {
+    return exchange(address, method, pathAndQuery, headers, body, Reuse.FRESH, timeoutMillis);
+  }
+
+  /** Sends a request like the other method, on a connection as {@code reuse} says. */
+  public CompletableFuture<HttpReply> exchange(
+      InetSocketAddress address,
+      String method,
+      String pathAndQuery,
+      Map<String, String> headers,
+      byte[] body,
+      Reuse reuse,
+      long timeoutMillis) {
     CollectingListener listener = new CollectingListener();
-    HttpCall call = send(address, method, pathAndQuery, headers, body, listener);
+    HttpHeaders fields = fields(address, headers);
+    HttpCall call = send(address, method, pathAndQuery, fields, body, reuse, listener);
     ScheduledFuture<?> timeout =
         bootstrap
             .config()
@@ -185,18 +207,25 @@
     }
   }
 
-  private Channel takeIdle(InetSocketAddress address) {
+  private Channel takeIdle(InetSocketAddress address, Reuse reuse) {
     ConcurrentLinkedDeque<IdleChannel> channels = idle.get(address);
-    if (channels == null) {
+    if (channels == null || reuse == Reuse.NONE) {
       return null;
     }
     long nowNanos = System.nanoTime();
     IdleChannel connection = channels.pollLast();
-    while (connection != null && !connection.isReusable(nowNanos)) {
-      connection.channel.close();
+    while (connection != null && !connection.channel.isActive()) {
       connection = channels.pollLast();
     }
-    return connection == null ? null : connection.channel;
+    if (connection == null) {
+      return null;
+    }
+    if (reuse == Reuse.FRESH && !connection.isReusable(nowNanos)) {
+      // The connections behind it have been idle for even longer.
+      channels.addLast(connection);
+      return null;
+    }
+    return connection.channel;
   }
 
   private void keep(InetSocketAddress address, Channel channel, OptionalLong idleLimitMillis) {
@@ -211,6 +240,13 @@
         new IdleChannel(channel, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(idleMillis)));
   }
 
+  private static HttpHeaders fields(InetSocketAddress address, Map<String, String> headers) {
+    HttpHeaders fields = new DefaultHttpHeaders();
+    headers.forEach(fields::set);
+    fields.set(HttpHeaderNames.HOST, hostHeader(address));
+    return fields;
+  }
+
   private static String hostHeader(InetSocketAddress address) {
     return address.getHostString() + ":" + address.getPort();
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -204,6 +204,7 @@
   }
 
   private void finish(CompletableFuture<Void> stopped, long elapsedMillis) {
+    relay.close();
     callerServer.closeIdleConnections();
     long limitMillis = settings.bounds().graceMillis() - STOP_MARGIN_MILLIS;
     if (relay.inProgress() > 0 && elapsedMillis < limitMillis) {
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -42,13 +42,20 @@
   /** When a caller comes back that met an instance without a configuration, in milliseconds. */
   private static final long NOT_READY_RETRY_MILLIS = 500;
 
+  /** When a caller comes back that met an instance that ends; another one takes it at once. */
+  private static final long STOPPING_RETRY_MILLIS = 50;
+
   /** The part of the permitted excess that instances use together; the rest covers stale shares. */
   private static final double ALLOWANCE_SLACK_SHARE = 0.25;
 
   /** The window in which customers' demand is counted, in milliseconds. */
   private static final long DEMAND_WINDOW_MILLIS = 4_000;
 
+  /** A caller that gives this part less than the longest time has tried before. */
+  private static final double RETURNED_SHARE = 0.02;
+
   private final RelayEnvironment environment;
+  private final Map<String, Long> longestBudgets = new HashMap<>();
   private final String selfId;
   private final String ownDomain;
   private final RandomGenerator random;
@@ -56,6 +63,7 @@
   private final Map<String, Allowance> allowances = new HashMap<>();
   private final Map<String, SlidingCount> demand = new HashMap<>();
   private int inProgress;
+  private boolean isClosed;
 
   /** Creates a relay without services. */
   public Relay(
@@ -104,10 +112,16 @@
     }
     Set<String> names = new HashSet<>();
     catalog.customers().forEach(customer -> names.add(customer.name()));
+    longestBudgets.keySet().retainAll(catalog.routeNames());
     allowances.keySet().retainAll(names);
     demand.keySet().retainAll(names);
   }
 
+  /** Refuses all further requests, which have not run; those in progress go on. */
+  public void close() {
+    isClosed = true;
+  }
+
   /** Returns the number of requests that have not been answered in full. */
   public int inProgress() {
     return inProgress;
@@ -142,6 +156,10 @@
   }
 
   private void admit(HttpExchange exchange, CallerRequest request, long nowNanos) {
+    if (isClosed) {
+      throw new RequestException(
+          ErrorKind.SHUTTING_DOWN, "the instance is about to end", STOPPING_RETRY_MILLIS);
+    }
     Catalog catalog = environment.blackboard().read(Catalog.ENTRY);
     if (catalog.version() == 0) {
       throw new RequestException(
@@ -171,12 +189,13 @@
             route,
             customer,
             nowNanos,
+            waitedMillis(route, request),
             sentOnce -> onEnded(customer, sentOnce ? 0 : cost));
     inProgress++;
     environment.metrics().admitted.inc();
     LOG.infof(
         "request.admitted id=%s route=%s service=%s customer=%s config=%d waiting=%d"
-            + " promptTokens=%d outputTokens=%d",
+            + " promptTokens=%d outputTokens=%d rank=%d budgetMillis=%d returned=%s",
         request.requestId(),
         route.name(),
         serviceName,
@@ -184,10 +203,27 @@
         catalog.version(),
         queue.waiting(),
         request.promptTokens(),
-        request.outputTokens());
+        request.outputTokens(),
+        relayed.rank(),
+        request.timeBudgetMillis().orElse(-1),
+        relayed.hasReturned());
     relayed.start();
   }
 
+  /**
+   * Returns how long the caller has waited for earlier attempts: what is missing from the longest
+   * time that callers of the route give.
+   */
+  private long waitedMillis(Route route, CallerRequest request) {
+    if (request.timeBudgetMillis().isEmpty()) {
+      return 0;
+    }
+    long budgetMillis = request.timeBudgetMillis().getAsLong();
+    long longestMillis = longestBudgets.merge(route.name(), budgetMillis, Math::max);
+    long missingMillis = longestMillis - budgetMillis;
+    return missingMillis > RETURNED_SHARE * longestMillis ? missingMillis : 0;
+  }
+
   private static Optional<Customer> customer(Catalog catalog, Route route, CallerRequest request) {
     Optional<Customer> customer = request.customerKey().flatMap(catalog::customerWithKey);
     if (customer.isEmpty() && !route.isOpen() && !catalog.customers().isEmpty()) {
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -14,6 +14,7 @@
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
 import org.buckthornferry.http.HttpCall;
+import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.HttpResponseListener;
 import org.buckthornferry.relay.EndpointProtocol.AnswerHead;
@@ -90,6 +91,7 @@
       Route route,
       Optional<Customer> customer,
       long arrivalNanos,
+      long waitedMillis,
       Consumer<Boolean> onEnded) {
     this.environment = environment;
     this.queue = queue;
@@ -111,11 +113,20 @@
             request.promptTokens(),
             request.promptTokens() + request.outputTokens(),
             arrivalNanos,
-            arrivalNanos + TimeUnit.MILLISECONDS.toNanos(route.goalMillis()),
+            arrivalNanos + TimeUnit.MILLISECONDS.toNanos(route.goalMillis() - waitedMillis),
             deadlineNanos,
+            waitedMillis > 0,
             this);
   }
 
+  int rank() {
+    return waiting.rank();
+  }
+
+  boolean hasReturned() {
+    return waiting.hasReturned();
+  }
+
   void start() {
     queue.onRequest();
     exchange.onWritabilityChanged(
@@ -151,6 +162,11 @@
   private void reserve(Placement placement) {
     phase = Phase.RESERVING;
     reserving = Optional.of(placement);
+    reserve(placement, HttpConnector.Reuse.ANY);
+  }
+
+  private void reserve(Placement placement, HttpConnector.Reuse reuse) {
+    long startNanos = environment.clock().nanoTime();
     EndpointProtocol protocol = environment.endpoints();
     EndpointProtocol.Call call = protocol.reserve(waiting.memoryTokens(), RESERVATION_MILLIS);
     Completions.onComplete(
@@ -162,8 +178,17 @@
                 call.path(),
                 call.headers(),
                 call.body(),
+                reuse,
                 RESERVE_TIMEOUT_MILLIS),
         (reply, failure) -> {
+          long millis = TimeUnit.NANOSECONDS.toMillis(environment.clock().nanoTime() - startNanos);
+          boolean wasStale =
+              reuse == HttpConnector.Reuse.ANY && millis < RESERVE_TIMEOUT_MILLIS / 2;
+          if (failure != null && wasStale) {
+            // An endpoint may have closed an idle connection; a new one tells whether it lives.
+            reserve(placement, HttpConnector.Reuse.NONE);
+            return;
+          }
           if (failure != null) {
             onReservation(placement, Optional.empty(), String.valueOf(failure.getMessage()));
             return;
@@ -435,6 +460,7 @@
                   request.uri(),
                   headers,
                   request.body(),
+                  route.mayRunAgain() ? HttpConnector.Reuse.ANY : HttpConnector.Reuse.FRESH,
                   this);
       if (route.mayRunAgain() && !isOver) {
         watchForSilence(firstOverdueMillis());
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherLoadTest.java
@@ -0,0 +1,183 @@
+package org.buckthornferry.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.catalog.Service;
+import org.buckthornferry.error.ErrorKind;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Plays a burst of twice the capacity in virtual time and checks what callers get. Each caller
+ * comes back once at the time it is told, as the platform's callers do.
+ */
+final class DispatcherLoadTest {
+  private static final int SLOTS = 8;
+  private static final long RUN_MILLIS = 500;
+  private static final long GOAL_MILLIS = 1_000;
+  private static final long LIMIT_MILLIS = 6_000;
+  private static final long BURST_MILLIS = 5_000;
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atMillis));
+  private final List<Caller> callers = new ArrayList<>();
+  private long nowMillis;
+  private int running;
+
+  private record Event(long atMillis, Runnable action) {}
+
+  private static final class Caller {
+    private final long firstMillis;
+    private final int rank;
+    private boolean returned;
+    private long startedMillis = -1;
+    private long refusedMillis = -1;
+
+    private Caller(long firstMillis, int rank) {
+      this.firstMillis = firstMillis;
+      this.rank = rank;
+    }
+
+    private boolean isOnTime() {
+      return startedMillis >= 0 && startedMillis - firstMillis < GOAL_MILLIS;
+    }
+  }
+
+  @Test
+  void servesOnTimeWhatTheSlotsAllowAndTellsTheOthersAtOnce() {
+    for (int seed = 1; seed <= 10; seed++) {
+      play(seed);
+      // What an all-knowing scheduler starts in the burst, when every slot is always busy.
+      double possible = SLOTS * (BURST_MILLIS / (double) RUN_MILLIS);
+      long onTime = callers.stream().filter(Caller::isOnTime).count();
+      assertWithMessage("seed %s on time", seed).that((double) onTime).isAtLeast(0.8 * possible);
+      long heldAndRefused =
+          callers.stream()
+              .filter(caller -> caller.startedMillis < 0)
+              .filter(caller -> caller.refusedMillis - caller.firstMillis > LIMIT_MILLIS / 2)
+              .count();
+      assertWithMessage("seed %s held", seed)
+          .that((double) heldAndRefused)
+          .isAtMost(0.05 * callers.size());
+    }
+  }
+
+  @Test
+  void moreImportantRequestsAreServedBeforeLessImportantOnes() {
+    play(5);
+    double important = servedShare(0);
+    double other = servedShare(2);
+    assertThat(important).isAtLeast(other);
+  }
+
+  private double servedShare(int rank) {
+    List<Caller> kind = callers.stream().filter(caller -> caller.rank == rank).toList();
+    return kind.stream().filter(caller -> caller.startedMillis >= 0).count() / (double) kind.size();
+  }
+
+  private void play(int seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    events.clear();
+    callers.clear();
+    running = 0;
+    Service service = new Service("s", 100, 0, 0, Optional.of(new Service.Reservations(1_000)));
+    Dispatcher dispatcher = new Dispatcher(service, "self", "z", random);
+    dispatcher.setEndpoints(
+        List.of(
+            new Endpoint(
+                "e",
+                "s",
+                InetSocketAddress.createUnresolved("127.0.0.1", 1),
+                "z",
+                "v",
+                SLOTS,
+                false,
+                0,
+                0,
+                0)));
+    double usualGapMillis = 2.0 * RUN_MILLIS / SLOTS;
+    double atMillis = 0;
+    while (atMillis < 2 * BURST_MILLIS) {
+      double gap = atMillis < BURST_MILLIS ? usualGapMillis / 4 : usualGapMillis;
+      atMillis += -Math.log(1 - random.nextDouble()) * gap;
+      Caller caller = new Caller((long) atMillis, random.nextInt(3));
+      callers.add(caller);
+      at((long) atMillis, () -> submit(dispatcher, caller));
+    }
+    for (long tick = 0; tick < 2 * BURST_MILLIS + LIMIT_MILLIS; tick += 5) {
+      at(tick, () -> {});
+    }
+    while (!events.isEmpty()) {
+      Event event = events.poll();
+      nowMillis = event.atMillis;
+      event.action.run();
+      dispatcher.dispatch(nanos(nowMillis));
+    }
+  }
+
+  private void submit(Dispatcher dispatcher, Caller caller) {
+    long limit = LIMIT_MILLIS - (nowMillis - caller.firstMillis);
+    WaitingRequest request =
+        new WaitingRequest(
+            "r" + callers.size(),
+            "kind" + caller.rank,
+            caller.rank,
+            0,
+            1,
+            nanos(nowMillis),
+            nanos(caller.firstMillis + GOAL_MILLIS),
+            nanos(nowMillis + limit),
+            caller.returned,
+            new WaitingRequest.Listener() {
+              @Override
+              public void onPlaced(Placement placement) {
+                start(dispatcher, placement, caller);
+              }
+
+              @Override
+              public void onRefused(ErrorKind reason, String detail, long retryAfterMillis) {
+                caller.refusedMillis = nowMillis;
+                if (!caller.returned) {
+                  caller.returned = true;
+                  at(nowMillis + retryAfterMillis, () -> submit(dispatcher, caller));
+                }
+              }
+            });
+    dispatcher.submit(request, nanos(nowMillis));
+  }
+
+  private void start(Dispatcher dispatcher, Placement placement, Caller caller) {
+    if (running >= SLOTS) {
+      dispatcher.onEnded(placement, true, AttemptOutcome.FULL, nanos(nowMillis));
+      dispatcher.submit(placement.request(), nanos(nowMillis));
+      return;
+    }
+    running++;
+    caller.startedMillis = nowMillis;
+    dispatcher.onSent(placement, nanos(nowMillis));
+    dispatcher.onFirstEvent(placement, 20);
+    at(
+        nowMillis + RUN_MILLIS,
+        () -> {
+          running--;
+          dispatcher.onEnded(placement, false, AttemptOutcome.COMPLETED, nanos(nowMillis));
+        });
+  }
+
+  private void at(long atMillis, Runnable action) {
+    events.add(new Event(atMillis, action));
+  }
+
+  private static long nanos(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+}
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -183,6 +183,7 @@
         millis(arrivalMillis),
         millis(arrivalMillis + 1_000),
         millis(arrivalMillis + 10_000),
+        /* hasReturned= */ false,
         new WaitingRequest.Listener() {
           @Override
           public void onPlaced(Placement placement) {
