--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Allowance.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Allowance.java
@@ -1,7 +1,6 @@
 package org.buckthornferry.dispatch;
 
 import java.util.concurrent.TimeUnit;
-import org.buckthornferry.catalog.Customer.Rate;
 
 /**
  * The part of a customer's allowance that this instance may use: a bucket that refills at the
@@ -30,21 +29,18 @@
   /**
    * Takes a request's cost, or returns how long to wait.
    *
-   * @param share this instance's part of the rate, from 0 to 1
-   * @param extra what the instance may use at once beyond its part of the burst
    * @return 0 when the cost was taken, else the time until something is left, in milliseconds
    */
-  public long tryTake(double cost, Rate rate, double share, double extra, long nowNanos) {
-    double perSecond = rate.perSecond() * share;
-    double capacity = rate.burst() * share + extra;
+  public long tryTake(double cost, AllowanceTerms terms, long nowNanos) {
     double elapsedSeconds = (nowNanos - filledNanos) / (double) TimeUnit.SECONDS.toNanos(1);
-    tokens = Math.min(capacity, tokens + Math.max(0, elapsedSeconds) * perSecond);
+    double filled = tokens + Math.max(0, elapsedSeconds) * terms.perSecond();
+    tokens = Math.min(terms.capacity(), filled);
     filledNanos = nowNanos;
     if (tokens > 0) {
-      tokens -= cost;
+      tokens = Math.max(tokens - cost, -terms.maxDebt());
       return 0;
     }
-    double seconds = perSecond <= 0 ? MAX_WAIT_SECONDS : -tokens / perSecond;
+    double seconds = terms.perSecond() <= 0 ? MAX_WAIT_SECONDS : -tokens / terms.perSecond();
     return 1 + (long) (Math.min(MAX_WAIT_SECONDS, seconds) * TimeUnit.SECONDS.toMillis(1));
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -61,8 +61,17 @@
    */
   private static final double GROWTH = 1.2;
 
+  /** A listing is relied on for this many periods. */
+  private static final double VALID_PERIODS = 2.2;
+
+  /** How often an instance looks whether its own demand has jumped, in milliseconds. */
+  private static final long JUMP_CHECK_MILLIS = 400;
+
+  /** Demand that has grown by this factor is published at once. */
+  private static final double JUMP_FACTOR = 1.6;
+
   /** A demand that has changed by less than this part of the total is not written again. */
-  private static final double WRITE_THRESHOLD = 0.1;
+  private static final double WRITE_THRESHOLD = 0.2;
 
   private final SharedStore store;
   private final String selfId;
@@ -80,6 +89,7 @@
   private Map<String, Double> lastShares = Map.of();
   private long confirmedNanos;
   private boolean isCutOff;
+  private boolean isWriting;
   private boolean stopped;
 
   private record Vanished(InstanceRecord instance, long untilNanos) {}
@@ -114,6 +124,7 @@
   /** Starts to register and to read. */
   public void start() {
     round();
+    scheduler.schedule(this::checkForJump, JUMP_CHECK_MILLIS);
   }
 
   /** Takes this instance out of the store. */
@@ -180,6 +191,36 @@
         });
   }
 
+  private void checkForJump() {
+    if (stopped) {
+      return;
+    }
+    scheduler.schedule(this::checkForJump, JUMP_CHECK_MILLIS);
+    boolean hasJumped = false;
+    for (Map.Entry<String, Double> entry : demand.get().entrySet()) {
+      double written = writtenDemand.getOrDefault(entry.getKey(), 0.0);
+      hasJumped |= entry.getValue() > JUMP_FACTOR * Math.max(written, meanDemand(entry.getKey()));
+    }
+    if (hasJumped && leaseId.isPresent() && !isWriting) {
+      Completions.onComplete(
+          write(),
+          (done, failure) -> {
+            if (failure != null) {
+              LOG.infof("instance.registration_failed reason=%s", failure.getMessage());
+            }
+          });
+    }
+  }
+
+  /** Returns the demand for a customer at an average instance, as far as it was published. */
+  private double meanDemand(String customerName) {
+    double total = 0;
+    for (InstanceRecord instance : instances.values()) {
+      total += instance.demandPerSecond().getOrDefault(customerName, 0.0);
+    }
+    return total / Math.max(1, instances.size());
+  }
+
   private boolean hasMoved() {
     Map<String, Double> current = demand.get();
     double total = 0;
@@ -194,8 +235,10 @@
   private CompletableFuture<Void> write() {
     Map<String, Double> current = demand.get();
     InstanceRecord record = new InstanceRecord(peerAddress, current);
+    isWriting = true;
     return store
         .apply(StoreChange.put(PREFIX + selfId, record.encode(), leaseId))
+        .whenComplete((revision, failure) -> isWriting = false)
         .thenAccept(revision -> writtenDemand = current);
   }
 
@@ -279,12 +322,17 @@
     target.forEach((name, share) -> shares.put(name, part * share));
     TreeMap<String, InstanceRecord> live = new TreeMap<>(instances);
     live.putIfAbsent(selfId, new InstanceRecord(peerAddress, Map.of()));
-    viewWriter.accept(new FleetView(List.copyOf(live.keySet()), shares));
+    long validMillis = (long) (VALID_PERIODS * periodMillis());
+    viewWriter.accept(
+        new FleetView(
+            List.copyOf(live.keySet()),
+            shares,
+            totals(writtenDemand, selfId, counted),
+            confirmedNanos + TimeUnit.MILLISECONDS.toNanos(validMillis)));
     onChanged.run();
   }
 
-  /** Returns this instance's part of each customer's allowance. */
-  static Map<String, Double> shares(
+  private static Map<String, Double> totals(
       Map<String, Double> ownDemand, String selfId, Map<String, InstanceRecord> instances) {
     Map<String, Double> totals = new HashMap<>(ownDemand);
     instances.forEach(
@@ -295,6 +343,13 @@
                 .forEach((name, value) -> totals.merge(name, value, Double::sum));
           }
         });
+    return totals;
+  }
+
+  /** Returns this instance's part of each customer's allowance. */
+  static Map<String, Double> shares(
+      Map<String, Double> ownDemand, String selfId, Map<String, InstanceRecord> instances) {
+    Map<String, Double> totals = totals(ownDemand, selfId, instances);
     Map<String, Double> shares = new HashMap<>();
     totals.forEach(
         (name, total) -> {
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -19,6 +19,7 @@
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.dispatch.Allowance;
+import org.buckthornferry.dispatch.AllowanceTerms;
 import org.buckthornferry.dispatch.SlidingCount;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
@@ -45,8 +46,8 @@
   /** When a caller comes back that met an instance that ends; another one takes it at once. */
   private static final long STOPPING_RETRY_MILLIS = 50;
 
-  /** The part of the permitted excess that instances use together; the rest covers stale shares. */
-  private static final double ALLOWANCE_SLACK_SHARE = 0.25;
+  /** A customer that asks for less than this part of its rate is far from its allowance. */
+  private static final double AMPLE_SHARE = 0.8;
 
   /** The window in which customers' demand is counted, in milliseconds. */
   private static final long DEMAND_WINDOW_MILLIS = 4_000;
@@ -250,17 +251,19 @@
     FleetView fleet = environment.blackboard().read(FleetView.ENTRY);
     OperatingBounds bounds = environment.blackboard().read(OperatingBounds.ENTRY);
     double share = fleet.allowanceShare(name);
-    double extra = rate.isInTokens() ? ALLOWANCE_SLACK_SHARE * bounds.allowanceSlack() * share : 0;
+    double asked = fleet.demandPerSecond(name);
+    boolean isScarce = !fleet.isFresh(nowNanos) || asked > AMPLE_SHARE * rate.perSecond();
+    AllowanceTerms terms = AllowanceTerms.of(rate, share, bounds.allowanceSlack(), isScarce);
     long waitMillis =
         allowances
-            .computeIfAbsent(name, unused -> new Allowance(extra, nowNanos))
-            .tryTake(cost, rate, share, extra, nowNanos);
+            .computeIfAbsent(name, unused -> new Allowance(terms.capacity() / 2, nowNanos))
+            .tryTake(cost, terms, nowNanos);
     if (waitMillis > 0) {
       throw new RequestException(
           ErrorKind.RATE_LIMITED,
           String.format(
-              "customer %s cost %.0f share %.3f of %.0f per second",
-              name, cost, share, rate.perSecond()),
+              "customer %s cost %.0f share %.3f of %.0f per second, asks %.0f, scarce %s",
+              name, cost, share, rate.perSecond(), asked, isScarce),
           waitMillis);
     }
     return cost;
