Leave fast endpoints to long prompts while slots are scarce

Cause (both sites): a third of the endpoints is four times slower than the others, and late answers are those of long prompts on slow endpoints: p99 to the first event 3.0 s for a goal of 1.0 s, while short prompts with goals of 0.6 to 2 s took the fast slots.

Change: EndpointPreference ranks endpoints. When reservations have been refused in the last second, a request takes the slowest endpoint that is comfortably on time; one that only a full endpoint can serve in time waits for it.

Tests: DispatcherTest.leavesFastEndpointsToLongPromptsWhileSlotsAreScarce and waitsForAFastSlotWhenTheFreeOneIsTooSlow failed before.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -49,15 +49,17 @@
   /** How many waiting requests are tried when the first ones fit no free endpoint. */
   private static final int MAX_TRIED = 8;
 
-  /** What a request to another failure domain costs more, in milliseconds; a tie-break. */
-  private static final double OTHER_DOMAIN_MILLIS = 2;
+  /** How long slots count as scarce after a refusal for lack of one, in milliseconds. */
+  private static final long SCARCE_MILLIS = 1_000;
 
-  /** The share of answers that count as good at least, so that a bad endpoint is tried at times. */
-  private static final double MIN_GOOD_SHARE = 0.1;
+  /** How long a slot of a full endpoint takes to become free, in milliseconds; a few turns. */
+  private static final long SLOT_WAIT_MILLIS = 80;
 
   /** Assumed until the first answer: a prompt token takes this many milliseconds. */
   private static final double INITIAL_MILLIS_PER_TOKEN = 0.04;
 
+  private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
   private final String selfId;
   private final String ownDomain;
   private final RandomGenerator random;
@@ -65,6 +67,7 @@
   private final WaitingLine line = new WaitingLine();
   private Service service;
   private List<String> instanceIds = List.of();
+  private long scarceUntilNanos = Long.MIN_VALUE / 2;
 
   /** Creates a dispatcher without endpoints. */
   public Dispatcher(Service service, String selfId, String ownDomain, RandomGenerator random) {
@@ -160,6 +163,9 @@
    */
   public void onEnded(
       Placement placement, boolean wasReserving, AttemptOutcome outcome, long nowNanos) {
+    if (outcome == AttemptOutcome.FULL) {
+      scarceUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SCARCE_MILLIS);
+    }
     load(placement)
         .ifPresent(
             load -> load.onEnded(wasReserving, outcome, 0.75 + random.nextDouble() / 2, nowNanos));
@@ -211,35 +217,62 @@
             ? 0
             : TimeUnit.MILLISECONDS.toNanos(RANK_PAUSE_MILLIS * Math.min(3, request.rank()));
     double common = commonMillisPerToken();
+    double slackMillis = (request.goalNanos() - nowNanos) / (double) NANOS_PER_MILLI;
+    boolean isScarce = nowNanos - scarceUntilNanos < 0;
     long nextNanos = NEVER;
     EndpointLoad best = null;
     double bestScore = Double.MAX_VALUE;
+    double busyFirstMillis = Double.MAX_VALUE;
+    long busyFreeNanos = NEVER;
     for (EndpointLoad load : endpoints.values()) {
-      if (!request.mayUse(load.endpoint().id()) || !load.hasRoom(ownLimit(load))) {
+      if (!request.mayUse(load.endpoint().id()) || load.isGone()) {
         continue;
       }
-      long freeNanos =
-          Math.max(
-              load.freeNanos(rankPauseNanos),
-              load.warmEnoughNanos(service, selfId, instanceIds, nowNanos));
+      double firstMillis = firstMillis(load, request, common);
+      long freeNanos = freeNanos(load, rankPauseNanos, nowNanos);
       if (freeNanos == NEVER || freeNanos - nowNanos > 0) {
         nextNanos = Math.min(nextNanos, freeNanos);
+        if (!load.isSuspect() && firstMillis < busyFirstMillis) {
+          busyFirstMillis = firstMillis;
+          busyFreeNanos = freeNanos;
+        }
         continue;
       }
-      double score = score(load, request, common);
+      double score =
+          EndpointPreference.score(
+              firstMillis,
+              slackMillis,
+              load.speed().isKnown() ? load.speed().millisPerToken() / common : 1,
+              !load.endpoint().failureDomain().equals(ownDomain),
+              load.errorShare(),
+              isScarce);
       if (score < bestScore) {
         best = load;
         bestScore = score;
       }
     }
+    if (best != null
+        && firstMillis(best, request, common) > slackMillis
+        && busyFirstMillis + SLOT_WAIT_MILLIS < slackMillis) {
+      // Only an endpoint that is full now is fast enough; its next slot still comes in time.
+      return new Choice(null, busyFreeNanos == NEVER ? nextNanos : busyFreeNanos);
+    }
     return new Choice(best, nextNanos);
   }
 
-  private double score(EndpointLoad load, WaitingRequest request, double common) {
-    double millis = load.speed().expectedFirstMillis(request.promptTokens(), common);
+  /** Returns when an endpoint may take one more request, or {@link #NEVER}. */
+  private long freeNanos(EndpointLoad load, long rankPauseNanos, long nowNanos) {
+    if (!load.hasRoom(ownLimit(load))) {
+      return NEVER;
+    }
+    return Math.max(
+        load.freeNanos(rankPauseNanos),
+        load.warmEnoughNanos(service, selfId, instanceIds, nowNanos));
+  }
+
+  private static double firstMillis(EndpointLoad load, WaitingRequest request, double common) {
     double occupied = 1 + (double) load.running() / Math.max(1, load.endpoint().capacity());
-    double domain = load.endpoint().failureDomain().equals(ownDomain) ? 0 : OTHER_DOMAIN_MILLIS;
-    return (millis * occupied + domain) / Math.max(MIN_GOOD_SHARE, 1 - load.errorShare());
+    return occupied * load.speed().expectedFirstMillis(request.promptTokens(), common);
   }
 
   /** Returns how many requests this instance runs at an endpoint at once. */
@@ -301,8 +334,7 @@
   }
 
   private long latestStartNanos(WaitingRequest request) {
-    return request.goalNanos()
-        - (long) (bestFirstMillis(request.promptTokens()) * TimeUnit.MILLISECONDS.toNanos(1));
+    return request.goalNanos() - (long) (bestFirstMillis(request.promptTokens()) * NANOS_PER_MILLI);
   }
 
   private void refuse(
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointPreference.java
@@ -0,0 +1,47 @@
+package org.buckthornferry.dispatch;
+
+/**
+ * Ranks endpoints for a request. Where slots are scarce, a request that even a slow endpoint serves
+ * well within its goal leaves the fast ones to those that need them, such as long prompts.
+ */
+final class EndpointPreference {
+  /** The part of the time left to the goal within which a first event is comfortably on time. */
+  private static final double COMFORTABLE_SHARE = 0.4;
+
+  /** What a request to another failure domain costs more, in milliseconds; a tie-break. */
+  private static final double OTHER_DOMAIN_MILLIS = 2;
+
+  /** The share of answers that count as good at least, so that a bad endpoint is tried at times. */
+  private static final double MIN_GOOD_SHARE = 0.1;
+
+  /** Lies above every score of an endpoint that is comfortably on time. */
+  private static final double NOT_COMFORTABLE = 1e6;
+
+  private EndpointPreference() {}
+
+  /**
+   * Returns the score of an endpoint; the smallest is the best.
+   *
+   * @param firstMillis the expected time to the first event
+   * @param slackMillis the time left to the goal
+   * @param relativeSlowness how slow the endpoint is compared with the others; 1 for the average
+   * @param isOtherDomain whether the endpoint is in another failure domain
+   * @param errorShare the share of answers that failed
+   * @param isScarce whether endpoints have refused requests for lack of slots lately
+   */
+  static double score(
+      double firstMillis,
+      double slackMillis,
+      double relativeSlowness,
+      boolean isOtherDomain,
+      double errorShare,
+      boolean isScarce) {
+    double goodShare = Math.max(MIN_GOOD_SHARE, 1 - errorShare);
+    boolean isComfortable = firstMillis <= COMFORTABLE_SHARE * slackMillis;
+    if (isScarce && isComfortable) {
+      return 1 / (Math.max(0.01, relativeSlowness) * goodShare);
+    }
+    double millis = firstMillis + (isOtherDomain ? OTHER_DOMAIN_MILLIS : 0);
+    return (isScarce ? NOT_COMFORTABLE : 0) + millis / goodShare;
+  }
+}
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -24,16 +24,65 @@
 
   @Test
   void placesOnTheEndpointWithTheShortestTimeToTheFirstEvent() {
-    Dispatcher dispatcher = dispatcher(MODEL, endpoint("slow", 4, 0), endpoint("fast", 4, 0));
-    learn(dispatcher, "slow", 600);
-    learn(dispatcher, "fast", 100);
-    placed.clear();
+    Endpoint slow = endpoint("slow", 4, 0);
+    Endpoint fast = endpoint("fast", 4, 0);
+    Dispatcher dispatcher = dispatcher(MODEL, slow, fast);
+    learn(dispatcher, slow, 600);
+    learn(dispatcher, fast, 100);
     dispatcher.submit(request("r", 0, 3_000, 0), millis(10));
     dispatcher.dispatch(millis(10));
-    assertThat(placed.get(0).endpoint().id()).isEqualTo("fast");
+    assertThat(placed.get(0).endpoint()).isEqualTo(fast);
     assertThat(placed.get(0).reservesFirst()).isTrue();
   }
 
+  @Test
+  void leavesFastEndpointsToLongPromptsWhileSlotsAreScarce() {
+    Endpoint slow = endpoint("slow", 4, 0);
+    Endpoint fast = endpoint("fast", 4, 0);
+    Endpoint full = endpoint("full", 4, 0);
+    Dispatcher dispatcher = dispatcher(MODEL, slow, fast, full);
+    learn(dispatcher, slow, 600);
+    learn(dispatcher, fast, 100);
+    learn(dispatcher, full, 100);
+    refuseOnce(dispatcher, full, slow, fast);
+    dispatcher.submit(request("short", 2, 200, 0), millis(1));
+    dispatcher.submit(request("long", 0, 5_000, 0), millis(1));
+    dispatcher.dispatch(millis(1));
+    for (Placement placement : placed) {
+      boolean isShort = placement.request().requestId().equals("short");
+      assertThat(placement.endpoint()).isEqualTo(isShort ? slow : fast);
+    }
+    assertThat(placed).hasSize(2);
+  }
+
+  @Test
+  void waitsForAFastSlotWhenTheFreeOneIsTooSlow() {
+    Endpoint slow = endpoint("slow", 4, 0);
+    Endpoint fast = endpoint("fast", 4, 0);
+    Dispatcher dispatcher = dispatcher(MODEL, slow, fast);
+    learn(dispatcher, slow, 600);
+    learn(dispatcher, fast, 100);
+    refuseOnce(dispatcher, fast, slow);
+    dispatcher.submit(request("long", 0, 9_000, 0), millis(1));
+    long nextNanos = dispatcher.dispatch(millis(1));
+    assertThat(placed).isEmpty();
+    dispatcher.dispatch(nextNanos);
+    assertThat(placed.get(0).endpoint()).isEqualTo(fast);
+  }
+
+  /** Lets one reservation at an endpoint fail for lack of a slot. */
+  private void refuseOnce(Dispatcher dispatcher, Endpoint full, Endpoint... others) {
+    WaitingRequest request = request("probe", 0, 100, 0);
+    for (Endpoint other : others) {
+      request.exclude(other.id());
+    }
+    dispatcher.submit(request, 0);
+    dispatcher.dispatch(0);
+    Placement placement = placed.remove(placed.size() - 1);
+    assertThat(placement.endpoint()).isEqualTo(full);
+    dispatcher.onEnded(placement, true, AttemptOutcome.FULL, 0);
+  }
+
   @Test
   void triesAnotherEndpointWhenOneIsFull() {
     Dispatcher dispatcher = dispatcher(MODEL, endpoint("a", 4, 0), endpoint("b", 4, 0));
@@ -151,20 +200,9 @@
     assertThat(placed).hasSize(2);
   }
 
-  private void learn(Dispatcher dispatcher, String endpointId, double firstMillis) {
-    for (int i = 0; i < 20; i++) {
-      WaitingRequest request = request("learn" + i, 0, 3_000, 0);
-      dispatcher.submit(request, 0);
-      dispatcher.dispatch(0);
-      Placement placement = placed.get(placed.size() - 1);
-      dispatcher.onSent(placement, 0);
-      double millis =
-          placement.endpoint().id().equals(endpointId)
-              ? firstMillis
-              : placement.endpoint().id().equals("slow") ? 600 : 100;
-      dispatcher.onFirstEvent(placement, millis);
-      dispatcher.onEnded(placement, false, AttemptOutcome.COMPLETED, 0);
-    }
+  private void learn(Dispatcher dispatcher, Endpoint endpoint, double firstMillis) {
+    dispatcher.onFirstEvent(
+        new Placement(request("learn", 0, 3_000, 0), endpoint, true), firstMillis);
   }
 
   private static Dispatcher dispatcher(Service service, Endpoint... endpoints) {
