--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -52,8 +52,14 @@
   /** The window in which customers' demand is counted, in milliseconds. */
   private static final long DEMAND_WINDOW_MILLIS = 4_000;
 
-  /** A caller that gives this part less than the longest time has tried before. */
-  private static final double RETURNED_SHARE = 0.02;
+  /**
+   * A caller that gives this part less than the longest time of its route has tried before; callers
+   * that have not differ by less.
+   */
+  private static final double RETURNED_SHARE = 0.2;
+
+  /** How much callers that have not tried before give less than the longest time, on average. */
+  private static final double USUAL_VARIATION_SHARE = 0.1;
 
   private final RelayEnvironment environment;
   private final Map<String, Long> longestBudgets = new HashMap<>();
@@ -221,8 +227,14 @@
     }
     long budgetMillis = request.timeBudgetMillis().getAsLong();
     long longestMillis = longestBudgets.merge(route.name(), budgetMillis, Math::max);
+    return waitedMillis(budgetMillis, longestMillis);
+  }
+
+  static long waitedMillis(long budgetMillis, long longestMillis) {
     long missingMillis = longestMillis - budgetMillis;
-    return missingMillis > RETURNED_SHARE * longestMillis ? missingMillis : 0;
+    return missingMillis > RETURNED_SHARE * longestMillis
+        ? missingMillis - (long) (USUAL_VARIATION_SHARE * longestMillis)
+        : 0;
   }
 
   private static Optional<Customer> customer(Catalog catalog, Route route, CallerRequest request) {
