Let strict parts of an allowance use the permitted excess as well

Change: the part of the excess that is used at once (0.35 instead of 0.25) holds in both modes; an allowance is scarce from its whole rate on.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/AllowanceTerms.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/AllowanceTerms.java
@@ -11,7 +11,7 @@
  */
 public record AllowanceTerms(double perSecond, double capacity, double maxDebt) {
   /** The part of the permitted excess that all instances together may use at once. */
-  private static final double SLACK_SHARE = 0.25;
+  private static final double SLACK_SHARE = 0.35;
 
   /** How much of its part an instance may use while the customer stays well below its allowance. */
   private static final double AMPLE_FACTOR = 1.6;
@@ -26,10 +26,10 @@
    */
   public static AllowanceTerms of(Rate rate, double share, double slack, boolean isScarce) {
     double slackShare = rate.isInTokens() ? SLACK_SHARE * slack * share : 0;
+    double capacity = rate.burst() * share + slackShare;
     if (isScarce) {
-      return new AllowanceTerms(rate.perSecond() * share, rate.burst() * share, Double.MAX_VALUE);
+      return new AllowanceTerms(rate.perSecond() * share, capacity, Double.MAX_VALUE);
     }
-    double capacity = rate.burst() * share + slackShare;
     return new AllowanceTerms(AMPLE_FACTOR * rate.perSecond() * share, capacity, capacity);
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -46,8 +46,8 @@
   /** When a caller comes back that met an instance that ends; another one takes it at once. */
   private static final long STOPPING_RETRY_MILLIS = 50;
 
-  /** A customer that asks for less than this part of its rate is far from its allowance. */
-  private static final double AMPLE_SHARE = 0.8;
+  /** A customer that asks for less than this part of its rate has its allowance to spare. */
+  private static final double AMPLE_SHARE = 1.0;
 
   /** The window in which customers' demand is counted, in milliseconds. */
   private static final long DEMAND_WINDOW_MILLIS = 4_000;
