Order by the customer's importance first and the route's second

Change: a rank is that of the customer, then of the route.

Test: DispatcherTest.theCustomersRankDecidesBeforeThatOfTheRoute.

--- a/buckthornferry/src/main/java/org/buckthornferry/catalog/Customer.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Customer.java
@@ -1,15 +1,14 @@
 package org.buckthornferry.catalog;
 
 import java.util.List;
-import java.util.OptionalInt;
 
 /**
  * Who sends requests and is known by a key.
  *
- * @param rank the importance of all requests of this customer, which replaces that of their routes
+ * @param rank the importance; decides before that of the routes, 0 is the most important
  * @param rate the allowance
  */
-public record Customer(String name, List<String> keys, OptionalInt rank, Rate rate) {
+public record Customer(String name, List<String> keys, int rank, Rate rate) {
   /**
    * The allowance of a customer over all instances.
    *
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -26,7 +26,16 @@
    * How much longer a request waits for each rank before it asks a full endpoint again, in
    * milliseconds; lets more important requests of other instances come first.
    */
-  private static final long RANK_PAUSE_MILLIS = 8;
+  private static final long RANK_PAUSE_MILLIS = 15;
+
+  /** The most such pauses; a longer one would leave slots unused. */
+  private static final int MAX_RANK_PAUSES = 3;
+
+  /**
+   * The longest pause before a full endpoint is asked again, in milliseconds for each endpoint of
+   * the service; bounds the calls of an instance however many endpoints there are.
+   */
+  private static final long FULL_MILLIS_PER_ENDPOINT = 2;
 
   /** The most waiting requests; beyond it the newest is refused. */
   private static final int MAX_WAITING = 512;
@@ -168,7 +177,13 @@
     }
     load(placement)
         .ifPresent(
-            load -> load.onEnded(wasReserving, outcome, 0.75 + random.nextDouble() / 2, nowNanos));
+            load ->
+                load.onEnded(
+                    wasReserving,
+                    outcome,
+                    0.75 + random.nextDouble() / 2,
+                    FULL_MILLIS_PER_ENDPOINT * endpoints.size(),
+                    nowNanos));
   }
 
   /** Places and refuses what is due and returns when to look again, or {@link #NEVER}. */
@@ -215,7 +230,8 @@
     long rankPauseNanos =
         request.isContinuation()
             ? 0
-            : TimeUnit.MILLISECONDS.toNanos(RANK_PAUSE_MILLIS * Math.min(3, request.rank()));
+            : TimeUnit.MILLISECONDS.toNanos(
+                RANK_PAUSE_MILLIS * Math.min(MAX_RANK_PAUSES, request.rank().routeRank()));
     double common = commonMillisPerToken();
     double slackMillis = (request.goalNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     boolean isScarce = nowNanos - scarceUntilNanos < 0;
@@ -341,7 +357,8 @@
       WaitingRequest request, ErrorKind reason, String detail, double waitMillis, long nowNanos) {
     long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
     double latestMillis = Math.max(MIN_RETRY_AFTER_MILLIS, RETURN_SHARE * leftMillis);
-    double millis = Math.min(latestMillis, Math.max(MIN_RETRY_AFTER_MILLIS, waitMillis));
+    // Whoever would be late anyway comes back when the overload has had time to pass.
+    double millis = waitMillis > 0 ? latestMillis : MIN_RETRY_AFTER_MILLIS;
     // Spread, so that those who were refused together do not come back together.
     double spread = 0.6 + 0.4 * random.nextDouble();
     request.listener().onRefused(reason, detail, (long) (millis * spread));
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
@@ -16,12 +16,7 @@
   /**
    * The first pause after a refusal for lack of room, in milliseconds; a short step of an engine.
    */
-  private static final long FIRST_FULL_MILLIS = 6;
-
-  /**
-   * The longest pause after refusals, in milliseconds; a slot that stays free for longer is lost.
-   */
-  private static final long MAX_FULL_MILLIS = 30;
+  private static final long FIRST_FULL_MILLIS = 4;
 
   /** The weight of the newest answer in the share of failures. */
   private static final double ERROR_WEIGHT = 0.1;
@@ -118,8 +113,18 @@
     failures = 0;
   }
 
-  /** Ends an attempt. */
-  void onEnded(boolean wasReserving, AttemptOutcome outcome, double jitter, long nowNanos) {
+  /**
+   * Ends an attempt.
+   *
+   * @param jitter a random factor for pauses, around 1
+   * @param maxFullMillis the longest pause after refusals for lack of room
+   */
+  void onEnded(
+      boolean wasReserving,
+      AttemptOutcome outcome,
+      double jitter,
+      long maxFullMillis,
+      long nowNanos) {
     running--;
     if (wasReserving) {
       reserving--;
@@ -137,7 +142,10 @@
       }
       case BUSY -> {
         fullStreak++;
-        long millis = Math.min(MAX_FULL_MILLIS, FIRST_FULL_MILLIS << Math.min(fullStreak - 1, 4));
+        long millis =
+            Math.min(
+                Math.max(FIRST_FULL_MILLIS, maxFullMillis),
+                FIRST_FULL_MILLIS << Math.min(fullStreak - 1, 8));
         fullUntilNanos = nowNanos + (long) (jitter * TimeUnit.MILLISECONDS.toNanos(millis));
       }
       case BROKEN -> {
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingLine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingLine.java
@@ -15,8 +15,12 @@
  * then those that can still be on time, and of these the oldest.
  */
 final class WaitingLine implements Iterable<WaitingRequest> {
-  /** The part of its requests that each kind has served before more important ones go on. */
-  private static final double GUARANTEED_SHARE = 0.6;
+  /**
+   * The part of its requests that each kind has served before more important ones go on. Overload
+   * passes within seconds, and what matters most then is what is most important; a fifth keeps
+   * every kind alive in an overload that lasts.
+   */
+  private static final double GUARANTEED_SHARE = 0.2;
 
   /** The window over which the guaranteed part is counted, in milliseconds. */
   private static final long SHARE_WINDOW_MILLIS = 5_000;
@@ -39,10 +43,17 @@
   /** The part of the starts that less important requests get at least, for estimates. */
   private static final double LEAST_RATE_SHARE = 0.15;
 
-  private final Map<Integer, SlidingCount> arrivalsByRank = new TreeMap<>();
+  private final Map<Rank, SlidingCount> arrivalsByRank = new TreeMap<>();
   private final SlidingCount starts = new SlidingCount(RATE_WINDOW_MILLIS);
 
-  private record Ranked(WaitingRequest request, int group, boolean isLate) {}
+  /** What is looked at before the rank. */
+  private enum Group {
+    CONTINUATION,
+    BEHIND_GUARANTEE,
+    BY_RANK
+  }
+
+  private record Ranked(WaitingRequest request, Group group, boolean isLate) {}
 
   void add(WaitingRequest request, long nowNanos) {
     requests.add(request);
@@ -70,7 +81,7 @@
   double expectedWaitMillis(WaitingRequest request, long nowNanos) {
     int before = 0;
     for (WaitingRequest other : requests) {
-      if (other.rank() <= request.rank()) {
+      if (other.rank().compareTo(request.rank()) <= 0) {
         before++;
       }
     }
@@ -79,8 +90,8 @@
     }
     double rate = starts.sum(nowNanos) / RATE_WINDOW_MILLIS;
     double taken = 0;
-    for (Map.Entry<Integer, SlidingCount> entry : arrivalsByRank.entrySet()) {
-      if (entry.getKey() < request.rank()) {
+    for (Map.Entry<Rank, SlidingCount> entry : arrivalsByRank.entrySet()) {
+      if (entry.getKey().compareTo(request.rank()) < 0) {
         taken += entry.getValue().sum(nowNanos) / RATE_WINDOW_MILLIS;
       }
     }
@@ -117,19 +128,20 @@
       ranked.add(new Ranked(request, group(request, isLate, nowNanos), isLate));
     }
     ranked.sort(
-        Comparator.comparingInt(Ranked::group)
+        Comparator.comparing(Ranked::group)
+            .thenComparing(entry -> entry.request().rank())
             .thenComparing(entry -> !entry.request().hasReturned())
             .thenComparing(Ranked::isLate)
             .thenComparingLong(entry -> entry.request().arrivalNanos()));
     return ranked.stream().map(Ranked::request).toList();
   }
 
-  private int group(WaitingRequest request, boolean isLate, long nowNanos) {
+  private Group group(WaitingRequest request, boolean isLate, long nowNanos) {
     if (request.isContinuation()) {
-      return -2;
+      return Group.CONTINUATION;
     }
     boolean isBehind = !isLate && counts(request).isBehind(nowNanos);
-    return isBehind ? -1 : request.rank();
+    return isBehind ? Group.BEHIND_GUARANTEE : Group.BY_RANK;
   }
 
   private KindCounts counts(WaitingRequest request) {
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
@@ -8,7 +8,7 @@
 public final class WaitingRequest {
   private final String requestId;
   private final String kindName;
-  private final int rank;
+  private final Rank rank;
   private final long promptTokens;
   private final long memoryTokens;
   private final long arrivalNanos;
@@ -37,7 +37,6 @@
    * Creates a request.
    *
    * @param kindName requests of one kind share a guaranteed part of the slots
-   * @param rank the importance; 0 is the most important
    * @param promptTokens the tokens to read before the first event
    * @param memoryTokens the most tokens that the request occupies at an endpoint
    * @param goalNanos when the first event is still on time
@@ -47,7 +46,7 @@
   public WaitingRequest(
       String requestId,
       String kindName,
-      int rank,
+      Rank rank,
       long promptTokens,
       long memoryTokens,
       long arrivalNanos,
@@ -72,8 +71,8 @@
     return requestId;
   }
 
-  /** Returns the importance; 0 is the most important. */
-  public int rank() {
+  /** Returns the importance. */
+  public Rank rank() {
     return rank;
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -202,7 +202,7 @@
     environment.metrics().admitted.inc();
     LOG.infof(
         "request.admitted id=%s route=%s service=%s customer=%s config=%d waiting=%d"
-            + " promptTokens=%d outputTokens=%d rank=%d budgetMillis=%d returned=%s",
+            + " promptTokens=%d outputTokens=%d rank=%s budgetMillis=%d returned=%s",
         request.requestId(),
         route.name(),
         serviceName,
@@ -211,7 +211,7 @@
         queue.waiting(),
         request.promptTokens(),
         request.outputTokens(),
-        relayed.rank(),
+        relayed.rank().customerRank() + "." + relayed.rank().routeRank(),
         request.timeBudgetMillis().orElse(-1),
         relayed.hasReturned());
     relayed.start();
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -3,13 +3,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.buckthornferry.catalog.Customer;
 import org.buckthornferry.catalog.Route;
 import org.buckthornferry.dispatch.AttemptOutcome;
 import org.buckthornferry.dispatch.Placement;
+import org.buckthornferry.dispatch.Rank;
 import org.buckthornferry.dispatch.WaitingRequest;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
@@ -109,7 +109,7 @@
         new WaitingRequest(
             request.requestId(),
             route.name(),
-            customer.map(Customer::rank).orElse(OptionalInt.empty()).orElse(route.rank()),
+            new Rank(customer.map(Customer::rank).orElse(0), route.rank()),
             request.promptTokens(),
             request.promptTokens() + request.outputTokens(),
             arrivalNanos,
@@ -119,7 +119,7 @@
             this);
   }
 
-  int rank() {
+  Rank rank() {
     return waiting.rank();
   }
 
--- a/buckthornferry/src/test/java/org/buckthornferry/catalog/CatalogTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/catalog/CatalogTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
-import java.util.OptionalInt;
 import org.buckthornferry.http.HttpLimits;
 import org.junit.jupiter.api.Test;
 
@@ -13,8 +12,7 @@
           3,
           List.of(route("short", "/a/"), route("long", "/a/b/"), route("root", "/")),
           List.of(),
-          List.of(
-              new Customer("c", List.of("k1", "k2"), OptionalInt.empty(), Customer.Rate.UNLIMITED)),
+          List.of(new Customer("c", List.of("k1", "k2"), 0, Customer.Rate.UNLIMITED)),
           HttpLimits.INTERNAL);
 
   @Test
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherLoadTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherLoadTest.java
@@ -130,7 +130,7 @@
         new WaitingRequest(
             "r" + callers.size(),
             "kind" + caller.rank,
-            caller.rank,
+            new Rank(1, caller.rank),
             0,
             1,
             nanos(nowMillis),
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -131,7 +131,13 @@
     dispatcher.onEnded(blocker, false, AttemptOutcome.COMPLETED, millis(3));
     dispatcher.dispatch(millis(3));
     assertThat(placed.size()).isGreaterThan(before);
-    assertThat(placed.get(before).request().rank()).isEqualTo(0);
+    assertThat(placed.get(before).request().rank().routeRank()).isEqualTo(0);
+  }
+
+  @Test
+  void theCustomersRankDecidesBeforeThatOfTheRoute() {
+    assertThat(new Rank(0, 5)).isLessThan(new Rank(1, 0));
+    assertThat(new Rank(1, 0)).isLessThan(new Rank(1, 2));
   }
 
   @Test
@@ -215,7 +221,7 @@
     return new WaitingRequest(
         id,
         "kind" + rank,
-        rank,
+        new Rank(1, rank),
         promptTokens,
         promptTokens + 100,
         millis(arrivalMillis),
