--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
@@ -156,6 +156,7 @@
       }
       case GONE -> isGone = true;
       case NONE -> fullUntilNanos = nowNanos;
+      default -> throw new IllegalStateException("unknown evidence " + outcome.evidence());
     }
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -241,6 +241,7 @@
         }
         queue.onEnded(placement, true, AttemptOutcome.ABANDONED);
       }
+      default -> throw new IllegalStateException("unknown answer " + reservation.kind());
     }
   }
 
@@ -278,6 +279,7 @@
     attempts++;
     queue.onSent(placement);
     environment.metrics().sent.inc();
+    environment.metrics().waitedMillis.update(elapsedMillis());
     LOG.infof(
         "request.sent id=%s endpoint=%s domain=%s attempt=%d reserved=%s waitedMillis=%d"
             + " leftMillis=%d after=%s",
@@ -679,6 +681,7 @@
                 false,
                 ErrorKind.TRUNCATED_ANSWER,
                 "the endpoint answered " + head.status() + " without a signature");
+        default -> throw new IllegalStateException("unknown verdict " + verdict);
       }
     }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -156,7 +156,7 @@
   }
 
   private void replace(Map<String, StoreItem> copy, long newRevision) {
-    boolean same = revision > 0 && sameRevisions(items, copy);
+    final boolean same = revision > 0 && sameRevisions(items, copy);
     items.clear();
     items.putAll(copy);
     revision = newRevision;
--- a/standins/src/main/java/org/buckthornferry/standin/StoreStandIn.java
+++ b/standins/src/main/java/org/buckthornferry/standin/StoreStandIn.java
@@ -216,7 +216,7 @@
       case TOO_LARGE -> 413;
       case RATE_LIMITED -> 429;
       case UNAVAILABLE -> 503;
-      case OUTCOME_UNKNOWN -> 500;
+      case OUTCOME_UNKNOWN, HISTORY_LOST -> 500;
     };
   }
 
