--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpServerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpServerTest.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.channel.MultithreadEventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -9,11 +10,15 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
+@Timeout(60)
 final class HttpServerTest {
   private static final String CHUNKED_BODY_AND_SMUGGLED_REQUEST =
       String.join("\r\n", "", "0", "", "GET /smuggled HTTP/1.1", "Host: h", "", "");
@@ -72,11 +77,52 @@
     assertThat(answers.toLowerCase(java.util.Locale.ROOT)).contains("connection: close");
   }
 
+  /** Guards against requests that make the server hang, answer nonsense or stop serving others. */
+  @Test
+  void everyMutilatedRequestIsAnsweredOrItsConnectionCloses() throws IOException {
+    int port = server.start().join();
+    for (int seed = 1; seed <= 300; seed++) {
+      String answers = exchange(port, mutilated(new SplittableRandom(seed)));
+      if (!answers.isEmpty()) {
+        assertWithMessage("seed %s", seed).that(answers).startsWith("HTTP/1.1 ");
+      }
+    }
+    String whole = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    assertThat(exchange(port, whole.getBytes(StandardCharsets.ISO_8859_1)))
+        .startsWith("HTTP/1.1 200");
+  }
+
+  private static byte[] mutilated(SplittableRandom random) {
+    byte[] bytes =
+        String.join(
+                "\r\n",
+                "POST /path?query=1 HTTP/1.1",
+                "Host: h",
+                "Content-Type: text/plain",
+                "Content-Length: 11",
+                "",
+                "hello world")
+            .getBytes(StandardCharsets.ISO_8859_1);
+    for (int change = 1 + random.nextInt(4); change > 0; change--) {
+      int at = random.nextInt(bytes.length);
+      if (random.nextInt(4) == 0) {
+        bytes = Arrays.copyOf(bytes, Math.max(1, at));
+      } else {
+        bytes[at] = (byte) random.nextInt(256);
+      }
+    }
+    return bytes;
+  }
+
   /** Sends bytes and returns everything until the server closes. */
   private String exchange(String bytes) throws IOException {
-    int port = server.start().join();
+    return exchange(server.start().join(), bytes.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static String exchange(int port, byte[] bytes) throws IOException {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-      socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().write(bytes);
+      socket.shutdownOutput();
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
   }
