Say not run only when no earlier attempt may have run

Cause (found by reading): when the first endpoint lost its answer and the second one refused, an idempotent request was answered 503 as not run, although the first may have run it. Change: a request remembers whether any attempt may have run it; refusals, the deadline and the last endpoint's word follow that.

--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -36,6 +36,9 @@
   /** Less time than this is not worth an attempt, in milliseconds. */
   private static final long MIN_ATTEMPT_MILLIS = 15;
 
+  /** When a caller comes back whose request an endpoint has not run, in milliseconds. */
+  private static final long NOT_RUN_RETRY_MILLIS = 150;
+
   /** Larger answers of plain services are passed on in parts, in bytes. */
   private static final int MAX_COLLECTED_BYTES = 1 << 20;
 
@@ -68,6 +71,7 @@
   private Optional<Placement> reserving = Optional.empty();
   private Optional<String> lastEventId;
   private boolean headForwarded;
+  private boolean mayHaveRun;
   private Optional<Attempt> failedAnswer = Optional.empty();
 
   private enum Phase {
@@ -152,7 +156,7 @@
     if (failedAnswer.isPresent()) {
       // A second endpoint was not found; the first one's answer is the final one.
       respond(failedAnswer.get());
-    } else if (attempts > 0) {
+    } else if (mayHaveRun) {
       fail(new RequestException(ErrorKind.ENDPOINT_FAILED, detail));
     } else {
       fail(new RequestException(reason, detail, retryAfterMillis));
@@ -320,6 +324,7 @@
 
   private void afterFailure(
       Attempt failed, boolean wasNotRun, ErrorKind kind, String detail, boolean mayRepeat) {
+    mayHaveRun |= !wasNotRun;
     LOG.infof(
         "attempt.failed id=%s endpoint=%s kind=%s notRun=%s detail=\"%s\" repeats=%s events=%d"
             + " elapsedMillis=%d",
@@ -342,7 +347,13 @@
     } else if (failedAnswer.isPresent()) {
       respond(failedAnswer.get());
     } else {
-      fail(new RequestException(kind, detail, wasNotRun ? MIN_ATTEMPT_MILLIS * 10 : 0));
+      // What the last endpoint says of itself does not hold for the ones before it.
+      boolean isNotRun = wasNotRun && !mayHaveRun;
+      fail(
+          new RequestException(
+              wasNotRun && mayHaveRun ? ErrorKind.ENDPOINT_FAILED : kind,
+              detail,
+              isNotRun ? NOT_RUN_RETRY_MILLIS : 0));
     }
   }
 
@@ -401,10 +412,9 @@
     if (phase == Phase.ENDED) {
       return;
     }
-    boolean wasSent = attempts > 0;
     Optional<Attempt> open = current;
     fail(
-        wasSent
+        mayHaveRun || open.isPresent()
             ? new RequestException(ErrorKind.DEADLINE_EXCEEDED, "the answer did not end in time")
             : new RequestException(
                 ErrorKind.DEADLINE_UNREACHABLE, "no endpoint had a free slot in time"));
@@ -656,9 +666,7 @@
             repeatOrFail(
                 this,
                 true,
-                attempts > 1 && !route.mayRunAgain()
-                    ? ErrorKind.ENDPOINT_FAILED
-                    : ErrorKind.ENDPOINT_REFUSED,
+                ErrorKind.ENDPOINT_REFUSED,
                 "the endpoint answered " + head.status() + " without running the request");
         case MISDIRECTED -> {
           // The request reached no endpoint of its service.
