--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -331,7 +331,7 @@
   }
 
   private long patienceEndNanos(WaitingRequest request) {
-    return request.isContinuation()
+    return request.hasBeenSent()
         ? request.deadlineNanos()
         : request.arrivalNanos() + TimeUnit.MILLISECONDS.toNanos(patienceMillis(request));
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
@@ -19,6 +19,7 @@
   private final Set<String> excludedEndpoints = new HashSet<>();
   private boolean isContinuation;
   private boolean isCounted;
+  private boolean hasBeenSent;
 
   /** Carries out the decisions about a request. */
   public interface Listener {
@@ -91,6 +92,13 @@
     excludedEndpoints.add(endpointId);
   }
 
+  /**
+   * Marks a request whose first endpoint failed; its caller waits for an answer until its deadline.
+   */
+  public void markSent() {
+    hasBeenSent = true;
+  }
+
   /** Marks a stream that has begun and goes on elsewhere; its caller is waiting for events. */
   public void markContinuation() {
     isContinuation = true;
@@ -128,6 +136,10 @@
     return hasReturned;
   }
 
+  boolean hasBeenSent() {
+    return hasBeenSent;
+  }
+
   boolean isCounted() {
     return isCounted;
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -342,6 +342,7 @@
         environment.metrics().resumed.inc();
         waiting.markContinuation();
       }
+      waiting.markSent();
       phase = Phase.WAITING;
       queue.submit(waiting);
     } else if (failedAnswer.isPresent()) {
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -134,6 +134,22 @@
     assertThat(placed.get(before).request().rank().routeRank()).isEqualTo(0);
   }
 
+  @Test
+  void aRequestWhoseFirstEndpointFailedLateIsStillSentToAnother() {
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint("a", 4, 0), endpoint("b", 4, 0));
+    WaitingRequest request = request("r", 0, 3_000, 0);
+    dispatcher.submit(request, 0);
+    dispatcher.dispatch(0);
+    dispatcher.onSent(placed.get(0), 0);
+    dispatcher.onEnded(placed.get(0), false, AttemptOutcome.SILENT, millis(2_000));
+    request.exclude(placed.get(0).endpoint().id());
+    request.markSent();
+    dispatcher.submit(request, millis(2_000));
+    dispatcher.dispatch(millis(2_000));
+    assertThat(refused).isEmpty();
+    assertThat(placed).hasSize(2);
+  }
+
   @Test
   void theCustomersRankDecidesBeforeThatOfTheRoute() {
     assertThat(new Rank(0, 5)).isLessThan(new Rank(1, 0));
