Pass on the rest of a large answer before it ends

Cause (found by reading): a plain answer above 1 MiB is passed on in parts, but what had been collected since the last part was dropped when the answer ended, and the caller saw a shortened answer that looked complete. Change: the rest is written before the end. PlatformRelayTest.passesOnALargeAnswerToItsLastByte failed before.

--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -395,6 +395,7 @@
     environment.metrics().totalMillis.update(elapsedMillis());
     end();
     if (headForwarded) {
+      exchange.write(answer.collected.toByteArray());
       exchange.end();
     } else {
       exchange.respond(
