--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -196,17 +196,6 @@
             });
   }
 
-  /** Closes the idle connections to an address, so that none of them is used again. */
-  public void forget(InetSocketAddress address) {
-    ConcurrentLinkedDeque<IdleChannel> channels = idle.remove(address);
-    if (channels == null) {
-      return;
-    }
-    for (IdleChannel connection : channels) {
-      connection.channel.close();
-    }
-  }
-
   private Channel takeIdle(InetSocketAddress address, Reuse reuse) {
     ConcurrentLinkedDeque<IdleChannel> channels = idle.get(address);
     if (channels == null || reuse == Reuse.NONE) {
--- a/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -37,7 +37,6 @@
   private final TreeMap<String, StoreItem> items = new TreeMap<>();
   private State state = State.NEW;
   private long revision;
-  private long confirmedNanos;
   private long lostNanos;
   private boolean reachable;
 
@@ -112,11 +111,6 @@
     return reachable;
   }
 
-  /** Returns when the copy was last known to be complete; meaningless while its revision is 0. */
-  public long confirmedNanos() {
-    return confirmedNanos;
-  }
-
   /** Takes over a copy that another instance holds when it is newer than this one. */
   public boolean adopt(long otherRevision, List<StoreItem> otherItems) {
     if (otherRevision <= revision || state == State.STOPPED) {
@@ -160,7 +154,6 @@
     items.clear();
     items.putAll(copy);
     revision = newRevision;
-    confirmedNanos = clock.nanoTime();
     if (!same) {
       listener.onChanged(this);
     }
@@ -214,7 +207,6 @@
       }
     }
     revision = Math.max(revision, changes.revision());
-    confirmedNanos = clock.nanoTime();
     if (!newer.isEmpty()) {
       listener.onChanged(this);
     }
