Let one instance of a failure domain read the store for the others

Change: one waiting call for all keys; in a failure domain of four instances or more one instance makes it, and the others hear of changes from it in one hop. Replies carry the age of the copy, counted by a clock that includes suspensions. A reader that is silent, behind or cut off is passed over within two thirds of the shortest bound. Before: calls grow with instances times changes.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
@@ -12,11 +12,14 @@
  *
  * @param listed the registered ones and this one, with where they listen for each other
  * @param lapsed those whose registration has ended lately; they may have lost only the store
+ * @param failureDomains the failure domains of the listed ones
  */
 public record FleetView(
-    Map<String, InetSocketAddress> listed, Map<String, InetSocketAddress> lapsed) {
+    Map<String, InetSocketAddress> listed,
+    Map<String, InetSocketAddress> lapsed,
+    Map<String, String> failureDomains) {
   /** Holds before the first listing. */
-  public static final FleetView EMPTY = new FleetView(Map.of(), Map.of());
+  public static final FleetView EMPTY = new FleetView(Map.of(), Map.of(), Map.of());
 
   /** The current view. */
   public static final BlackboardEntry<FleetView> ENTRY = BlackboardEntry.of("fleet", EMPTY);
@@ -28,6 +31,15 @@
   public FleetView {
     listed = Map.copyOf(listed);
     lapsed = Map.copyOf(lapsed);
+    failureDomains = Map.copyOf(failureDomains);
+  }
+
+  /** Returns the listed instances of a failure domain. */
+  public List<String> instancesIn(String failureDomain) {
+    return listed.keySet().stream()
+        .filter(id -> failureDomain.equals(failureDomains.get(id)))
+        .sorted()
+        .toList();
   }
 
   /** Returns the instances that may be at work; they share what is bounded over all of them. */
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRecord.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRecord.java
@@ -12,15 +12,18 @@
  * What an instance tells the others through the store.
  *
  * @param peerAddress where it listens for other instances
+ * @param failureDomain the failure domain that it is in
  */
-record InstanceRecord(InetSocketAddress peerAddress) {
+record InstanceRecord(InetSocketAddress peerAddress, String failureDomain) {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String PEER_ADDRESS = "peerAddress";
+  private static final String FAILURE_DOMAIN = "failureDomain";
 
   byte[] encode() {
     return JsonNodeFactory.instance
         .objectNode()
         .put(PEER_ADDRESS, peerAddress.getHostString() + ":" + peerAddress.getPort())
+        .put(FAILURE_DOMAIN, failureDomain)
         .toString()
         .getBytes(StandardCharsets.UTF_8);
   }
@@ -29,7 +32,8 @@
   static InstanceRecord decode(byte[] value) throws IOException {
     JsonNode node = MAPPER.readTree(value);
     try {
-      return new InstanceRecord(Addresses.parse(node.path(PEER_ADDRESS).asText()));
+      return new InstanceRecord(
+          Addresses.parse(node.path(PEER_ADDRESS).asText()), node.path(FAILURE_DOMAIN).asText());
     } catch (IllegalArgumentException e) {
       throw new IOException(e.getMessage(), e);
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.control.Blackboard;
-import org.buckthornferry.store.PrefixFollower;
 import org.buckthornferry.store.SharedStore;
 import org.buckthornferry.store.StoreChange;
 import org.buckthornferry.store.StoreException;
@@ -25,7 +24,7 @@
  * Registers this instance in the store under a lease and follows the others. While the store is
  * away the last view holds.
  */
-public final class InstanceRegistry implements PrefixFollower.Listener {
+public final class InstanceRegistry implements StoreView.Section {
   private static final Logger LOG = Logger.getLogger(InstanceRegistry.class);
 
   static final String PREFIX = "buckthornferry/instances/";
@@ -39,9 +38,6 @@
   /** The lease outlives this many missed renewals. */
   private static final int LEASE_PERIODS = 3;
 
-  /** How long a watch waits, in milliseconds; instances come and go rarely. */
-  private static final long WATCH_MILLIS = 4_000;
-
   /**
    * How long an instance whose registration has ended is remembered, in milliseconds. After an
    * outage of the store all registrations may have ended; they are back within a few periods.
@@ -56,9 +52,10 @@
   private final Scheduler scheduler;
   private final MonotonicClock clock;
   private final RandomGenerator random;
-  private final PrefixFollower registrations;
+  private final StoreView view;
   private final Map<String, Lapsed> lapsed = new HashMap<>();
   private Map<String, InetSocketAddress> listed = Map.of();
+  private Map<String, String> failureDomains = Map.of();
   private OptionalLong leaseId = OptionalLong.empty();
   private boolean stopped;
 
@@ -71,35 +68,35 @@
    */
   public InstanceRegistry(
       SharedStore store,
+      StoreView view,
       String selfId,
       InetSocketAddress peerAddress,
+      String failureDomain,
       Blackboard blackboard,
       Runnable onChanged,
       Scheduler scheduler,
       MonotonicClock clock,
       RandomGenerator random) {
     this.store = store;
+    this.view = view;
     this.selfId = selfId;
-    this.self = new InstanceRecord(peerAddress);
+    this.self = new InstanceRecord(peerAddress, failureDomain);
     this.viewWriter = blackboard.writerOf(FleetView.ENTRY);
     this.onChanged = onChanged;
     this.scheduler = scheduler;
     this.clock = clock;
     this.random = random;
-    this.registrations =
-        new PrefixFollower(store, PREFIX, WATCH_MILLIS, this, scheduler, clock, random);
+    view.add(this);
   }
 
-  /** Starts to register and to follow. */
+  /** Starts to register. */
   public void start() {
-    registrations.start();
     round();
   }
 
   /** Takes this instance out of the store. */
   public CompletableFuture<Void> stop() {
     stopped = true;
-    registrations.stop();
     if (leaseId.isEmpty()) {
       return CompletableFuture.completedFuture(null);
     }
@@ -146,8 +143,8 @@
             return CompletableFuture.failedFuture(failure);
           }
           boolean isRegistered =
-              !registrations.isReachable()
-                  || registrations.items().stream()
+              !view.isReachable()
+                  || view.items(PREFIX).stream()
                       .anyMatch(item -> item.key().equals(PREFIX + selfId));
           return isRegistered ? CompletableFuture.completedFuture(null) : write();
         });
@@ -160,21 +157,30 @@
   }
 
   @Override
-  public void onChanged(PrefixFollower follower) {
+  public String prefix() {
+    return PREFIX;
+  }
+
+  @Override
+  public void onChanged() {
     Map<String, InetSocketAddress> read = new HashMap<>();
-    for (StoreItem item : follower.items()) {
+    Map<String, String> domains = new HashMap<>();
+    for (StoreItem item : view.items(PREFIX)) {
       try {
         String id = item.key().substring(PREFIX.length());
-        read.put(id, InstanceRecord.decode(item.value()).peerAddress());
+        InstanceRecord other = InstanceRecord.decode(item.value());
+        read.put(id, other.peerAddress());
+        domains.put(id, other.failureDomain());
       } catch (IOException e) {
         LOG.warnf("instance.unreadable key=%s reason=%s", item.key(), e.getMessage());
       }
     }
     read.put(selfId, self.peerAddress());
+    domains.put(selfId, self.failureDomain());
     if (!read.keySet().equals(listed.keySet())) {
       LOG.infof(
           "instances.changed count=%d previous=%d storeRevision=%d",
-          read.size(), listed.size(), follower.revision());
+          read.size(), listed.size(), view.revision());
     }
     long untilNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAPSED_MILLIS);
     listed.forEach(
@@ -185,19 +191,10 @@
           }
         });
     listed = Map.copyOf(read);
+    failureDomains = Map.copyOf(domains);
     publish();
   }
 
-  @Override
-  public void onReachable(long lostMillis) {
-    LOG.infof("store.reachable what=instances lostMillis=%d", lostMillis);
-  }
-
-  @Override
-  public void onUnreachable(Kind reason) {
-    LOG.warnf("store.unreachable what=instances reason=%s", reason);
-  }
-
   private void publish() {
     long nowNanos = clock.nanoTime();
     lapsed
@@ -207,7 +204,7 @@
                 listed.containsKey(entry.getKey()) || entry.getValue().untilNanos - nowNanos <= 0);
     Map<String, InetSocketAddress> remembered = new HashMap<>();
     lapsed.forEach((id, entry) -> remembered.put(id, entry.address));
-    viewWriter.accept(new FleetView(listed, remembered));
+    viewWriter.accept(new FleetView(listed, remembered, failureDomains));
     onChanged.run();
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerCaller.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerCaller.java
@@ -20,4 +20,11 @@
     /** Returns the reply; fails when the message cannot be read. */
     byte[] answer(byte[] message) throws IOException;
   }
+
+  /** Answers calls whose replies may be held. */
+  @FunctionalInterface
+  interface HoldingResponder {
+    /** Returns the future reply; fails when the message cannot be read. */
+    CompletableFuture<byte[]> answer(byte[] message) throws IOException;
+  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerCalls.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerCalls.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
+import org.buckthornferry.util.Completions;
 import org.buckthornferry.util.Scheduler;
 import org.jboss.logging.Logger;
 
@@ -55,11 +56,15 @@
   private final InetSocketAddress address;
   private final EventLoopGroup eventLoops;
   private final Scheduler scheduler;
-  private final Map<PeerMessageKind, Responder> responders = new EnumMap<>(PeerMessageKind.class);
-  private final Map<InetSocketAddress, Connection> connections = new HashMap<>();
+  private final Map<PeerMessageKind, HoldingResponder> responders =
+      new EnumMap<>(PeerMessageKind.class);
+  private final Map<Target, Connection> connections = new HashMap<>();
   private Channel server;
   private boolean stopped;
 
+  /** Replies come in the order of the calls, so one that is held would keep others waiting. */
+  private record Target(InetSocketAddress address, boolean isHeld) {}
+
   /** Creates the calls of an instance that does not listen yet. */
   public PeerCalls(InetSocketAddress address, EventLoopGroup eventLoops, Scheduler scheduler) {
     this.address = address;
@@ -69,6 +74,11 @@
 
   /** Sets what answers calls of a kind; to be done before {@link #start}. */
   public void respondTo(PeerMessageKind kind, Responder responder) {
+    responders.put(kind, message -> CompletableFuture.completedFuture(responder.answer(message)));
+  }
+
+  /** Sets what answers calls of a kind whose replies are held; to be done before {@link #start}. */
+  public void respondLater(PeerMessageKind kind, HoldingResponder responder) {
     responders.put(kind, responder);
   }
 
@@ -110,7 +120,8 @@
     if (stopped) {
       return CompletableFuture.failedFuture(new IOException("the instance stops"));
     }
-    Connection connection = connections.computeIfAbsent(other, Connection::new);
+    Connection connection =
+        connections.computeIfAbsent(new Target(other, kind.isHeld()), Connection::new);
     return connection.call(kind, message, timeoutMillis);
   }
 
@@ -144,11 +155,19 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
       PeerMessageKind kind = PeerMessageKind.ofCode(frame.readByte());
-      Responder responder = responders.get(kind);
+      HoldingResponder responder = responders.get(kind);
       if (responder == null) {
         throw new IOException("nothing answers calls of kind " + kind);
       }
-      context.writeAndFlush(frame(kind, responder.answer(ByteBufUtil.getBytes(frame))));
+      Completions.onComplete(
+          responder.answer(ByteBufUtil.getBytes(frame)),
+          (reply, failure) -> {
+            if (failure == null) {
+              context.writeAndFlush(frame(kind, reply));
+            } else {
+              exceptionCaught(context, failure);
+            }
+          });
     }
 
     @Override
@@ -160,13 +179,13 @@
 
   /** A kept connection to one other instance. */
   private final class Connection {
-    private final InetSocketAddress other;
+    private final Target target;
     private final Queue<Call> calls = new ArrayDeque<>();
     private final Channel channel;
     private boolean isClosed;
 
-    private Connection(InetSocketAddress other) {
-      this.other = other;
+    private Connection(Target target) {
+      this.target = target;
       this.channel =
           new Bootstrap()
               .group(eventLoops)
@@ -174,7 +193,7 @@
               .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
               .option(ChannelOption.TCP_NODELAY, true)
               .handler(pipeline(() -> new Client(this)))
-              .connect(other)
+              .connect(target.address)
               .addListener((ChannelFutureListener) this::onConnected)
               .channel();
     }
@@ -219,7 +238,7 @@
         return;
       }
       isClosed = true;
-      connections.remove(other, this);
+      connections.remove(target, this);
       channel.close();
       for (Call call : List.copyOf(calls)) {
         call.timeout.cancel();
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -7,7 +7,9 @@
   /** Copies of the store's items, for an instance that the store turns away. */
   VIEW(1),
   /** A part of a customer's allowance. */
-  ALLOWANCE(2);
+  ALLOWANCE(2),
+  /** Changes in the store, for an instance that does not read it itself; replies are held. */
+  CHANGES(3);
 
   private final byte code;
 
@@ -15,6 +17,11 @@
     this.code = (byte) code;
   }
 
+  /** Returns whether replies wait for something to happen; such calls have their own connection. */
+  boolean isHeld() {
+    return this == CHANGES;
+  }
+
   byte code() {
     return code;
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/ViewExchange.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/ViewExchange.java
@@ -2,10 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.store.PrefixFollower;
@@ -14,8 +12,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Gives instances that the store turns away the copies of others. An instance asks one other at a
- * time, and only while its own calls fail.
+ * Gives instances that the store turns away the copy of another one. An instance asks one other at
+ * a time, and only while its own calls fail.
  */
 public final class ViewExchange {
   private static final Logger LOG = Logger.getLogger(ViewExchange.class);
@@ -27,7 +25,7 @@
   private static final long TIMEOUT_MILLIS = 800;
 
   private final PeerCaller peers;
-  private final List<PrefixFollower> followers;
+  private final PrefixFollower follower;
   private final Supplier<List<InetSocketAddress>> others;
   private final Scheduler scheduler;
   private final RandomGenerator random;
@@ -40,12 +38,12 @@
    */
   public ViewExchange(
       PeerCaller peers,
-      DeploymentController deployment,
+      StoreView view,
       Supplier<List<InetSocketAddress>> others,
       Scheduler scheduler,
       RandomGenerator random) {
     this.peers = peers;
-    this.followers = deployment.followers();
+    this.follower = view.follower();
     this.others = others;
     this.scheduler = scheduler;
     this.random = random;
@@ -71,54 +69,39 @@
       return;
     }
     scheduler.schedule(this::ask, ASK_MILLIS);
-    boolean isCutOff = followers.stream().anyMatch(follower -> !follower.isReachable());
-    List<InetSocketAddress> candidates = isCutOff ? others.get() : List.of();
+    List<InetSocketAddress> candidates = follower.isReachable() ? List.of() : others.get();
     if (candidates.isEmpty()) {
       return;
     }
     InetSocketAddress other = candidates.get(random.nextInt(candidates.size()));
-    Map<String, Long> revisions = new LinkedHashMap<>();
-    followers.forEach(follower -> revisions.put(follower.prefix(), follower.revision()));
     Completions.onComplete(
         peers.call(
-            other, PeerMessageKind.VIEW, ViewMessages.encodeRequest(revisions), TIMEOUT_MILLIS),
+            other,
+            PeerMessageKind.VIEW,
+            ViewMessages.encodeRequest(follower.revision()),
+            TIMEOUT_MILLIS),
         (reply, failure) -> {
           if (failure != null) {
             LOG.infof("view.unreachable address=%s reason=\"%s\"", other, failure);
             return;
           }
           try {
-            adopt(ViewMessages.decodeReply(reply), other);
+            ViewMessages.decodeReply(reply).ifPresent(copy -> adopt(copy, other));
           } catch (IOException e) {
             LOG.warnf("view.unreadable address=%s reason=\"%s\"", other, e.getMessage());
           }
         });
   }
 
-  private List<ViewMessages.Copy> newerThan(Map<String, Long> revisions) {
-    List<ViewMessages.Copy> newer = new ArrayList<>();
-    for (PrefixFollower follower : followers) {
-      if (follower.revision() > revisions.getOrDefault(follower.prefix(), 0L)) {
-        newer.add(
-            new ViewMessages.Copy(
-                follower.prefix(), follower.revision(), List.copyOf(follower.items())));
-      }
-    }
-    return newer;
+  private Optional<ViewMessages.Copy> newerThan(long revision) {
+    return follower.revision() > revision
+        ? Optional.of(new ViewMessages.Copy(follower.revision(), List.copyOf(follower.items())))
+        : Optional.empty();
   }
 
-  private void adopt(List<ViewMessages.Copy> copies, InetSocketAddress from) {
-    for (ViewMessages.Copy copy : copies) {
-      for (PrefixFollower follower : followers) {
-        boolean isNewer =
-            follower.prefix().equals(copy.prefix())
-                && !follower.isReachable()
-                && follower.adopt(copy.revision(), copy.items());
-        if (isNewer) {
-          LOG.infof(
-              "view.adopted prefix=%s revision=%d from=%s", copy.prefix(), copy.revision(), from);
-        }
-      }
+  private void adopt(ViewMessages.Copy copy, InetSocketAddress from) {
+    if (!follower.isReachable() && follower.adopt(copy.revision(), copy.items())) {
+      LOG.infof("view.adopted revision=%d from=%s", copy.revision(), from);
     }
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -25,6 +25,7 @@
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
+import org.buckthornferry.fleet.ChangeFeed;
 import org.buckthornferry.fleet.DeploymentController;
 import org.buckthornferry.fleet.DeploymentSource;
 import org.buckthornferry.fleet.FleetView;
@@ -32,7 +33,9 @@
 import org.buckthornferry.fleet.OperatingBounds;
 import org.buckthornferry.fleet.PeerCalls;
 import org.buckthornferry.fleet.PeerMessageKind;
+import org.buckthornferry.fleet.ReaderWatch;
 import org.buckthornferry.fleet.SharedAllowances;
+import org.buckthornferry.fleet.StoreView;
 import org.buckthornferry.fleet.ViewExchange;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
@@ -45,6 +48,7 @@
 import org.buckthornferry.store.SharedStore;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
+import org.buckthornferry.util.SuspensionCountingClock;
 import org.jboss.logging.Logger;
 
 /**
@@ -81,6 +85,7 @@
   private final DeploymentController deployment;
   private final InstanceRegistry instances;
   private final PeerCalls peers;
+  private final StoreView view;
   private final ViewExchange views;
   private final HttpServer callerServer;
   private final List<HttpServer> servers = new ArrayList<>();
@@ -119,28 +124,37 @@
             settings.instanceId(),
             settings.failureDomain(),
             random);
-    this.deployment =
-        new DeploymentController(
+    MonotonicClock viewClock =
+        new SuspensionCountingClock(MonotonicClock.SYSTEM, System::currentTimeMillis);
+    ReaderWatch changes =
+        new ReaderWatch(
             sharedStore,
-            source,
             blackboard,
-            relay::refresh,
-            scheduler,
-            MonotonicClock.SYSTEM,
-            random);
+            peers,
+            settings.instanceId(),
+            settings.failureDomain(),
+            viewClock);
+    this.view = new StoreView(sharedStore, changes, scheduler, viewClock, random);
+    ChangeFeed feed = new ChangeFeed(view, scheduler, viewClock);
+    this.deployment =
+        new DeploymentController(
+            view, source, blackboard, relay::refresh, scheduler, MonotonicClock.SYSTEM);
     this.instances =
         new InstanceRegistry(
             sharedStore,
+            view,
             settings.instanceId(),
             settings.peerAddress(),
+            settings.failureDomain(),
             blackboard,
             relay::refresh,
             scheduler,
             MonotonicClock.SYSTEM,
             random);
-    this.views = new ViewExchange(peers, deployment, this::otherInstances, scheduler, random);
+    this.views = new ViewExchange(peers, view, this::otherInstances, scheduler, random);
     peers.respondTo(PeerMessageKind.VIEW, views::answer);
     peers.respondTo(PeerMessageKind.ALLOWANCE, allowances::answer);
+    peers.respondLater(PeerMessageKind.CHANGES, feed::answer);
     this.callerServer =
         new HttpServer(
             settings.callerAddress(),
@@ -162,7 +176,7 @@
         settings.instanceId(), settings.failureDomain(), settings.callerAddress());
     eventLoop.execute(
         () -> {
-          deployment.start();
+          view.start();
           instances.start();
           views.start();
         });
@@ -215,7 +229,7 @@
       schedule(() -> finish(stopped, elapsedMillis + STOP_POLL_MILLIS), STOP_POLL_MILLIS);
       return;
     }
-    deployment.stop();
+    view.stop();
     views.stop();
     peers.stop();
     LOG.infof("instance.stopped inProgress=%d elapsedMillis=%d", relay.inProgress(), elapsedMillis);
@@ -272,7 +286,7 @@
   private String describe() {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("configVersion", blackboard.read(Catalog.ENTRY).version());
-    node.put("storeReachable", deployment.isStoreReachable());
+    node.put("storeReachable", view.isReachable());
     node.put("inProgress", relay.inProgress());
     relay
         .describe()
--- a/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -42,14 +43,16 @@
 
   private final SharedStore store;
   private final String prefix;
-  private final long watchMillis;
+  private final ChangeSource source;
   private final Listener listener;
   private final Scheduler scheduler;
   private final MonotonicClock clock;
   private final RandomGenerator random;
   private final TreeMap<String, StoreItem> items = new TreeMap<>();
+  private final ChangeLog log = new ChangeLog();
   private State state = State.NEW;
   private long revision;
+  private long asOfNanos;
   private long lostNanos;
   private long changedNanos;
   private boolean reachable;
@@ -87,9 +90,31 @@
       Scheduler scheduler,
       MonotonicClock clock,
       RandomGenerator random) {
+    this(
+        store,
+        prefix,
+        new StoreWatch(store, prefix, () -> watchMillis, clock),
+        listener,
+        scheduler,
+        clock,
+        random);
+  }
+
+  /**
+   * Creates a follower that does nothing yet and hears of changes from {@code source}; only
+   * listings are asked of the store itself.
+   */
+  public PrefixFollower(
+      SharedStore store,
+      String prefix,
+      ChangeSource source,
+      Listener listener,
+      Scheduler scheduler,
+      MonotonicClock clock,
+      RandomGenerator random) {
     this.store = store;
     this.prefix = prefix;
-    this.watchMillis = watchMillis;
+    this.source = source;
     this.listener = listener;
     this.scheduler = scheduler;
     this.clock = clock;
@@ -116,6 +141,33 @@
     return items.values();
   }
 
+  /** Returns the items of the copy whose keys start with {@code keyPrefix}, ordered by key. */
+  public Collection<StoreItem> items(String keyPrefix) {
+    return items.subMap(keyPrefix, keyPrefix + Character.MAX_VALUE).values();
+  }
+
+  /**
+   * Returns what has changed in the copy after an older revision, each key once, or empty when that
+   * is not known any more.
+   */
+  public Optional<List<StoreItem>> changesAfter(long olderRevision) {
+    return log.keysAfter(olderRevision)
+        .map(
+            keys -> {
+              List<StoreItem> changes = new ArrayList<>(keys.size());
+              for (String key : keys) {
+                StoreItem item = items.get(key);
+                changes.add(item == null ? StoreItem.removal(key, revision) : item);
+              }
+              return changes;
+            });
+  }
+
+  /** Returns the time of the local clock at which the store held nothing newer than the copy. */
+  public long asOfNanos() {
+    return asOfNanos;
+  }
+
   /** Returns the revision up to which the copy is complete; 0 when nothing has been read. */
   public long revision() {
     return revision;
@@ -142,6 +194,7 @@
       return;
     }
     state = State.LISTING;
+    long sentNanos = clock.nanoTime();
     Completions.onComplete(
         store.list(prefix, afterKey),
         (page, failure) -> {
@@ -158,6 +211,8 @@
           }
           onSuccess();
           if (fromRevision >= revision) {
+            // The first page of several is older; the watch that follows confirms the copy.
+            asOfNanos = firstRevision == 0 ? sentNanos : asOfNanos;
             replace(collected, fromRevision);
           }
           watch();
@@ -166,6 +221,11 @@
 
   private void replace(Map<String, StoreItem> copy, long newRevision) {
     final boolean same = revision > 0 && sameRevisions(items, copy);
+    if (revision == 0) {
+      log.startAt(newRevision);
+    } else {
+      log.addDifference(items, copy, newRevision);
+    }
     items.clear();
     items.putAll(copy);
     revision = newRevision;
@@ -193,14 +253,16 @@
     }
     state = State.WATCHING;
     Completions.onComplete(
-        store.watch(prefix, revision, watchMillis),
-        (changes, failure) -> {
+        source.changesAfter(revision),
+        (observed, failure) -> {
           if (failure != null) {
             onFailure(StoreException.kindOf(failure));
             return;
           }
           onSuccess();
+          StoreChanges changes = observed.changes();
           if (state != State.STOPPED) {
+            asOfNanos = observed.asOfNanos();
             apply(changes);
           }
           if (changes.changes().isEmpty()) {
@@ -227,6 +289,7 @@
       }
     }
     for (StoreItem change : newer) {
+      log.add(change.key(), change.revision());
       if (change.isRemoval()) {
         items.remove(change.key());
       } else {
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
@@ -8,6 +8,7 @@
 import org.buckthornferry.http.Addresses;
 import org.buckthornferry.store.StoreChange;
 import org.buckthornferry.store.StoreException.Kind;
+import org.buckthornferry.store.StoreWatch;
 import org.buckthornferry.testing.FakeSharedStore;
 import org.buckthornferry.testing.ManualScheduler;
 import org.junit.jupiter.api.Test;
@@ -60,16 +61,26 @@
   }
 
   private InstanceRegistry start(String id, Blackboard target) {
+    StoreView view =
+        new StoreView(
+            store,
+            new StoreWatch(store, StoreView.EVERYTHING, () -> 4_000, time),
+            time,
+            time,
+            new SplittableRandom(5));
     InstanceRegistry registry =
         new InstanceRegistry(
             store,
+            view,
             id,
             Addresses.parse("127.0.0.1:1"),
+            "domain-a",
             target,
             () -> {},
             time,
             time,
             new SplittableRandom(5));
+    view.start();
     registry.start();
     return registry;
   }
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
@@ -359,7 +359,7 @@
 
       private void see(
           Map<String, InetSocketAddress> listed, Map<String, InetSocketAddress> lapsed) {
-        viewWriter.accept(new FleetView(listed, lapsed));
+        viewWriter.accept(new FleetView(listed, lapsed, Map.of()));
         allowances.refresh();
       }
 
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -31,12 +31,12 @@
   private final Map<String, Long> leaseOfKey = new HashMap<>();
   private final Scheduler scheduler;
 
-  /** Creates a store whose leases never end. */
+  /** Creates a store whose leases and watches never end. */
   public FakeSharedStore() {
     this((task, delayMillis) -> Scheduler.Task.NONE);
   }
 
-  /** Creates a store whose leases end by the given time. */
+  /** Creates a store whose leases and watches end by the given time. */
   public FakeSharedStore(Scheduler scheduler) {
     this.scheduler = scheduler;
   }
@@ -56,6 +56,11 @@
     return calls;
   }
 
+  /** Returns the revision of the last change. */
+  public long revision() {
+    return revision;
+  }
+
   /** Writes a key as another client would. */
   public void put(String key, String value) {
     revision++;
@@ -146,7 +151,15 @@
       return CompletableFuture.completedFuture(new StoreChanges(newer, revision));
     }
     CompletableFuture<StoreChanges> result = new CompletableFuture<>();
-    watches.add(new Watch(prefix, after, result));
+    Watch watch = new Watch(prefix, after, result);
+    watches.add(watch);
+    scheduler.schedule(
+        () -> {
+          if (watches.remove(watch)) {
+            result.complete(new StoreChanges(List.of(), revision));
+          }
+        },
+        waitMillis);
     return result;
   }
 
