Grant requests beyond an allowance while slots are free

The owner used a part of the constant only, in a bucket that was empty until the first request of a customer asked for it. Change: the owner counts what it grants in the window and goes up to what the contract permits, less what instances may use without asking or alone, as long as the asking instance sees no lack of slots; an owner's bucket begins to fill when it becomes the owner. A new owner grants nothing beyond the bucket for a window.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/AllowanceTerms.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/AllowanceTerms.java
@@ -25,7 +25,7 @@
    * What an instance that cannot reach the owner uses of an equal part. The owner grants the whole
    * allowance to the others meanwhile, so this must stay within the permitted excess.
    */
-  private static final double ALONE_SHARE = 0.3;
+  static final double ALONE_SHARE = 0.3;
 
   /**
    * Returns the terms of a customer's allowance that its owner grants from.
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -128,6 +128,11 @@
     return line.size();
   }
 
+  /** Returns whether a request that comes now takes no slot from another one, as far as known. */
+  public boolean hasFreeSlots(long nowNanos) {
+    return line.size() == 0 && scarceUntilNanos - nowNanos <= 0;
+  }
+
   /** Returns the endpoints that may get requests. */
   public int endpointCount() {
     return endpoints.size();
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/AllowanceMessages.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/AllowanceMessages.java
@@ -10,8 +10,9 @@
    * Asks for a part of an allowance.
    *
    * @param cost what the request takes in the customer's unit; negative to give that much back
+   * @param hasFreeSlots whether the request takes no slot from another one
    */
-  record Ask(String customerName, double cost) {}
+  record Ask(String customerName, double cost, boolean hasFreeSlots) {}
 
   /**
    * Replied by an instance that is not the owner in its own view, or does not know the customer.
@@ -21,12 +22,14 @@
   private AllowanceMessages() {}
 
   static byte[] encodeAsk(Ask ask) {
-    return Packing.pack(packer -> packer.packString(ask.customerName).packDouble(ask.cost));
+    return Packing.pack(
+        packer ->
+            packer.packString(ask.customerName).packDouble(ask.cost).packBoolean(ask.hasFreeSlots));
   }
 
   static Ask decodeAsk(byte[] message) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(message)) {
-      return new Ask(Packing.text(unpacker), unpacker.unpackDouble());
+      return new Ask(Packing.text(unpacker), unpacker.unpackDouble(), unpacker.unpackBoolean());
     }
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/SharedAllowances.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/SharedAllowances.java
@@ -13,6 +13,7 @@
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.dispatch.Allowance;
 import org.buckthornferry.dispatch.AllowanceTerms;
+import org.buckthornferry.dispatch.CommonAllowance;
 import org.buckthornferry.util.Completions;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Rendezvous;
@@ -43,7 +44,7 @@
   private final PeerCaller peers;
   private final String selfId;
   private final MonotonicClock clock;
-  private final Map<String, Allowance> common = new HashMap<>();
+  private final Map<String, CommonAllowance> common = new HashMap<>();
   private final Map<String, Allowance> unasked = new HashMap<>();
   private final Map<String, Allowance> alone = new HashMap<>();
   private final Map<String, Long> silentUntilNanos = new HashMap<>();
@@ -82,8 +83,12 @@
     this.clock = clock;
   }
 
-  /** Takes a request's cost from its customer's allowance; never fails. */
-  public CompletableFuture<Decision> take(Customer customer, double cost) {
+  /**
+   * Takes a request's cost from its customer's allowance; never fails.
+   *
+   * @param hasFreeSlots whether the request takes no slot from another one
+   */
+  public CompletableFuture<Decision> take(Customer customer, double cost, boolean hasFreeSlots) {
     if (!customer.rate().isLimited()) {
       return CompletableFuture.completedFuture(new Decision(0, Source.UNLIMITED, ""));
     }
@@ -100,11 +105,11 @@
       return CompletableFuture.completedFuture(new Decision(0, Source.UNASKED, ownerId));
     }
     if (ownerId.equals(selfId)) {
-      long waitMillis = takeCommon(customer, cost);
+      long waitMillis = takeCommon(customer, cost, hasFreeSlots);
       return CompletableFuture.completedFuture(new Decision(waitMillis, Source.COMMON, ownerId));
     }
     return Completions.thenOnOutcome(
-        ask(ownerId, candidates.get(ownerId), customer, cost),
+        ask(ownerId, candidates.get(ownerId), customer, cost, hasFreeSlots),
         (waitMillis, failure) -> {
           boolean isAnswered = failure == null && waitMillis != AllowanceMessages.NOT_OWNER;
           return CompletableFuture.completedFuture(
@@ -133,16 +138,25 @@
       return AllowanceMessages.encodeReply(AllowanceMessages.NOT_OWNER);
     }
     if (ask.cost() < 0) {
-      bucket(common, customer).giveBack(-ask.cost());
+      owned(customer).giveBack(-ask.cost(), clock.nanoTime());
       return AllowanceMessages.encodeReply(0);
     }
-    return AllowanceMessages.encodeReply(takeCommon(customer, ask.cost()));
+    return AllowanceMessages.encodeReply(takeCommon(customer, ask.cost(), ask.hasFreeSlots()));
   }
 
-  /** Forgets what belongs to customers and instances that are gone. */
+  /**
+   * Takes over customers and instances. An owner's allowance begins to fill before the first
+   * request; one that this instance owns no more is forgotten, because others grant from it.
+   */
   public void refresh() {
-    Set<String> names = blackboard.read(Catalog.ENTRY).customerNames();
-    common.keySet().retainAll(names);
+    Catalog catalog = blackboard.read(Catalog.ENTRY);
+    Set<String> names = catalog.customerNames();
+    common.keySet().removeIf(name -> !names.contains(name) || !isOwner(name));
+    for (String name : names) {
+      if (isOwner(name)) {
+        catalog.customer(name).filter(known -> known.rate().isLimited()).ifPresent(this::owned);
+      }
+    }
     unasked.keySet().retainAll(names);
     alone.keySet().retainAll(names);
     silentUntilNanos.keySet().retainAll(known(blackboard.read(FleetView.ENTRY)).keySet());
@@ -186,9 +200,23 @@
     return Rendezvous.first(customerName, instanceIds).orElse("").equals(selfId);
   }
 
-  private long takeCommon(Customer customer, double cost) {
-    AllowanceTerms terms = commonTerms(customer, blackboard.read(OperatingBounds.ENTRY));
-    return bucket(common, customer).tryOverdraw(cost, terms, clock.nanoTime());
+  private long takeCommon(Customer customer, double cost, boolean hasFreeSlots) {
+    OperatingBounds bounds = blackboard.read(OperatingBounds.ENTRY);
+    CommonAllowance.Terms terms =
+        CommonAllowance.Terms.of(
+            customer.rate(),
+            bounds.allowanceOverrun(),
+            bounds.allowanceSlack(),
+            windowSeconds(bounds));
+    return owned(customer).take(cost, hasFreeSlots, terms, clock.nanoTime());
+  }
+
+  private CommonAllowance owned(Customer customer) {
+    return common.computeIfAbsent(
+        customer.name(),
+        name ->
+            new CommonAllowance(
+                blackboard.read(OperatingBounds.ENTRY).allowanceWindowMillis(), clock.nanoTime()));
   }
 
   private Decision takeAlone(Customer customer, double cost, String ownerId, FleetView fleet) {
@@ -200,8 +228,13 @@
   }
 
   private CompletableFuture<Long> ask(
-      String ownerId, InetSocketAddress address, Customer customer, double cost) {
-    byte[] message = AllowanceMessages.encodeAsk(new AllowanceMessages.Ask(customer.name(), cost));
+      String ownerId,
+      InetSocketAddress address,
+      Customer customer,
+      double cost,
+      boolean hasFreeSlots) {
+    byte[] message =
+        AllowanceMessages.encodeAsk(new AllowanceMessages.Ask(customer.name(), cost, hasFreeSlots));
     return Completions.thenOnOutcome(
         peers.call(address, PeerMessageKind.ALLOWANCE, message, ASK_TIMEOUT_MILLIS),
         (reply, failure) -> {
@@ -234,7 +267,7 @@
 
   private void giveBackCommon(Customer customer, double cost, String ownerId) {
     if (ownerId.equals(selfId)) {
-      bucket(common, customer).giveBack(cost);
+      owned(customer).giveBack(cost, clock.nanoTime());
       return;
     }
     InetSocketAddress address = known(blackboard.read(FleetView.ENTRY)).get(ownerId);
@@ -243,7 +276,7 @@
       return;
     }
     Completions.onComplete(
-        ask(ownerId, address, customer, -cost),
+        ask(ownerId, address, customer, -cost, false),
         (done, failure) -> {
           if (failure != null) {
             LOG.infof("allowance.not_returned customer=%s owner=%s", customer.name(), ownerId);
@@ -252,8 +285,11 @@
   }
 
   private static AllowanceTerms commonTerms(Customer customer, OperatingBounds bounds) {
-    double windowSeconds = bounds.allowanceWindowMillis() / (double) TimeUnit.SECONDS.toMillis(1);
-    return AllowanceTerms.common(customer.rate(), bounds.allowanceSlack(), windowSeconds);
+    return AllowanceTerms.common(customer.rate(), bounds.allowanceSlack(), windowSeconds(bounds));
+  }
+
+  private static double windowSeconds(OperatingBounds bounds) {
+    return bounds.allowanceWindowMillis() / (double) TimeUnit.SECONDS.toMillis(1);
   }
 
   private Allowance bucket(Map<String, Allowance> buckets, Customer customer) {
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -170,107 +170,97 @@
                     new RequestException(
                         ErrorKind.UNKNOWN_ROUTE, "no route in version " + catalog.version()));
     Optional<Customer> customer = customer(catalog, route, request);
+    String serviceName = route.chooseService(random.nextDouble());
+    ServiceQueue queue = queues.get(serviceName);
+    if (queue == null) {
+      throw new RequestException(
+          ErrorKind.NO_ENDPOINT, "service " + serviceName + " is unknown", NOT_READY_RETRY_MILLIS);
+    }
+    Arrival arrival = new Arrival(exchange, request, route, queue, customer, nowNanos);
     if (customer.isEmpty()) {
-      relay(exchange, request, route, customer, nowNanos, sentOnce -> {});
+      relay(arrival, sentOnce -> {});
       return;
     }
     inProgress++;
-    takeAllowance(exchange, request, route, customer.get(), nowNanos);
+    takeAllowance(arrival, customer.get());
   }
 
-  private void takeAllowance(
+  /** A request that has passed the checks of configuration and key. */
+  private record Arrival(
       HttpExchange exchange,
       CallerRequest request,
       Route route,
-      Customer customer,
-      long arrivalNanos) {
-    double cost = customer.rate().cost(request.totalTokens());
+      ServiceQueue queue,
+      Optional<Customer> customer,
+      long atNanos) {}
+
+  private void takeAllowance(Arrival arrival, Customer customer) {
+    double cost = customer.rate().cost(arrival.request.totalTokens());
     Completions.onComplete(
-        allowances.take(customer, cost),
+        allowances.take(customer, cost, arrival.queue.hasFreeSlots()),
         (decision, failure) -> {
           long pauseMillis = Math.max(MIN_ALLOWANCE_WAIT_MILLIS, decision.waitMillis());
           long waitedMillis =
-              TimeUnit.NANOSECONDS.toMillis(environment.clock().nanoTime() - arrivalNanos);
-          boolean isShort = waitedMillis + pauseMillis <= ALLOWANCE_WAIT_SHARE * route.goalMillis();
+              TimeUnit.NANOSECONDS.toMillis(environment.clock().nanoTime() - arrival.atNanos);
+          boolean isShort =
+              waitedMillis + pauseMillis <= ALLOWANCE_WAIT_SHARE * arrival.route.goalMillis();
           if (!decision.isGranted() && isShort) {
             LOG.infof(
                 "request.allowance_awaited id=%s customer=%s cost=%.0f part=%s owner=%s"
                     + " pauseMillis=%d waitedMillis=%d",
-                request.requestId(),
+                arrival.request.requestId(),
                 customer.name(),
                 cost,
                 decision.source(),
                 decision.ownerId(),
                 pauseMillis,
                 waitedMillis);
-            environment
-                .scheduler()
-                .schedule(
-                    () -> takeAllowance(exchange, request, route, customer, arrivalNanos),
-                    pauseMillis);
+            environment.scheduler().schedule(() -> takeAllowance(arrival, customer), pauseMillis);
             return;
           }
           inProgress--;
-          onDecision(exchange, request, route, customer, cost, decision, arrivalNanos);
+          onDecision(arrival, customer, cost, decision);
         });
   }
 
-  private void onDecision(
-      HttpExchange exchange,
-      CallerRequest request,
-      Route route,
-      Customer customer,
-      double cost,
-      Decision decision,
-      long nowNanos) {
-    Consumer<Boolean> onEnded =
+  private void onDecision(Arrival arrival, Customer customer, double cost, Decision decision) {
+    if (!decision.isGranted()) {
+      refuse(
+          arrival.exchange,
+          arrival.request.requestId(),
+          new RequestException(
+              ErrorKind.RATE_LIMITED,
+              String.format(
+                  "customer %s cost %.0f of %.0f per second, part %s, owner %s",
+                  customer.name(),
+                  cost,
+                  customer.rate().perSecond(),
+                  decision.source(),
+                  decision.ownerId()),
+              decision.waitMillis()));
+      return;
+    }
+    relay(
+        arrival,
         sentOnce -> {
           if (!sentOnce) {
             allowances.giveBack(customer, cost, decision);
           }
-        };
-    try {
-      if (!decision.isGranted()) {
-        throw new RequestException(
-            ErrorKind.RATE_LIMITED,
-            String.format(
-                "customer %s cost %.0f of %.0f per second, part %s, owner %s",
-                customer.name(),
-                cost,
-                customer.rate().perSecond(),
-                decision.source(),
-                decision.ownerId()),
-            decision.waitMillis());
-      }
-      relay(exchange, request, route, Optional.of(customer), nowNanos, onEnded);
-    } catch (RequestException e) {
-      refuse(exchange, request.requestId(), e);
-    }
+        });
   }
 
-  private void relay(
-      HttpExchange exchange,
-      CallerRequest request,
-      Route route,
-      Optional<Customer> customer,
-      long nowNanos,
-      Consumer<Boolean> onEnded) {
-    String serviceName = route.chooseService(random.nextDouble());
-    ServiceQueue queue = queues.get(serviceName);
-    if (queue == null) {
-      onEnded.accept(false);
-      throw new RequestException(
-          ErrorKind.NO_ENDPOINT, "service " + serviceName + " is unknown", NOT_READY_RETRY_MILLIS);
-    }
+  private void relay(Arrival arrival, Consumer<Boolean> onEnded) {
+    CallerRequest request = arrival.request;
+    Route route = arrival.route;
     RelayedRequest relayed =
         new RelayedRequest(
             environment,
-            queue,
-            exchange,
+            arrival.queue,
+            arrival.exchange,
             request,
             route,
-            customer,
-            nowNanos,
+            arrival.customer,
+            arrival.atNanos,
             waitedMillis(route, request),
             sentOnce -> {
               inProgress--;
@@ -283,10 +273,10 @@
             + " promptTokens=%d outputTokens=%d rank=%s budgetMillis=%d returned=%s",
         request.requestId(),
         route.name(),
-        serviceName,
-        customer.map(Customer::name).orElse("-"),
+        arrival.queue.serviceName(),
+        arrival.customer.map(Customer::name).orElse("-"),
         environment.blackboard().read(Catalog.ENTRY).version(),
-        queue.waiting(),
+        arrival.queue.waiting(),
         request.promptTokens(),
         request.outputTokens(),
         relayed.rank().customerRank() + "." + relayed.rank().routeRank(),
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -20,6 +20,7 @@
   private static final long TIMER_MILLIS = 1;
 
   private final RelayEnvironment environment;
+  private final String serviceName;
   private final Dispatcher dispatcher;
   private final RetryBudget retries;
   private Scheduler.Task wakeUp = Scheduler.Task.NONE;
@@ -34,6 +35,7 @@
       RelayEnvironment environment,
       RandomGenerator random) {
     this.environment = environment;
+    this.serviceName = service.name();
     this.dispatcher = new Dispatcher(service, selfId, ownDomain, random);
     this.retries =
         new RetryBudget(environment.blackboard().read(OperatingBounds.ENTRY).retryWindowMillis());
@@ -46,10 +48,18 @@
     run();
   }
 
+  String serviceName() {
+    return serviceName;
+  }
+
   int waiting() {
     return dispatcher.waiting();
   }
 
+  boolean hasFreeSlots() {
+    return dispatcher.hasFreeSlots(environment.clock().nanoTime());
+  }
+
   int endpointCount() {
     return dispatcher.endpointCount();
   }
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
@@ -122,6 +122,80 @@
     }
   }
 
+  /** Slots are free for a part of the requests, in all that is played above. */
+  @Test
+  void keepsTheBoundWhenRequestsBeyondTheAllowanceFindFreeSlots() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      for (double share : new double[] {0.2, 0.7, 1}) {
+        playTrouble(seed, share).assertWithinBound();
+      }
+    }
+  }
+
+  private static Play playTrouble(int seed, double freeSlotsShare) {
+    Play play = new Play(seed, SLACK);
+    play.freeSlotsShare = freeSlotsShare;
+    double normal = play.rate.perSecond() / 1.8;
+    play.run(10_000, normal);
+    play.run(12_000, 7 * normal);
+    play.cut(0);
+    play.run(10_000, 7 * normal);
+    play.restart(play.random.nextInt(INSTANCES));
+    play.restart(play.owner());
+    play.run(10_000, 3 * normal);
+    play.lostReplies = 0.1;
+    play.suspend(play.owner());
+    play.run(4_000, 7 * normal);
+    play.resume();
+    play.run(10_000, 7 * normal);
+    return play;
+  }
+
+  /** Three times the usual load for five seconds; callers wait for nobody. */
+  @Test
+  void grantsABurstThatTheContractPermitsWhileSlotsAreFree() {
+    double[] servedShare = new double[2];
+    for (int isFree = 0; isFree <= 1; isFree++) {
+      for (int seed = 1; seed <= SEEDS; seed++) {
+        Play play = new Play(seed, SLACK);
+        play.freeSlotsShare = isFree;
+        double normal = play.rate.perSecond() / 1.8;
+        play.run(10_000, normal);
+        double before = play.grantedTokens();
+        play.run(5_000, 3 * normal);
+        play.assertWithinBound();
+        servedShare[isFree] += (play.grantedTokens() - before) / (5 * 3 * normal) / SEEDS;
+      }
+    }
+    assertThat(servedShare[1]).isAtLeast(0.95);
+    assertThat(servedShare[1]).isGreaterThan(servedShare[0]);
+  }
+
+  @Test
+  void aNewOwnerGrantsNothingBeyondTheAllowanceForAWindow() {
+    Play play = new Play(3, SLACK);
+    play.freeSlotsShare = 1;
+    play.run(10_000, play.rate.perSecond() / 1.8);
+    play.restart(play.owner());
+    double before = play.grantedTokens();
+    play.run(4_000, 20 * play.rate.perSecond());
+    double usual =
+        AllowanceTerms.common(play.rate, SLACK, WINDOW_SECONDS).perSecond() * 4 * (1 + OVERRUN);
+    assertThat(play.grantedTokens() - before).isAtMost(usual + 2 * LARGEST_COST);
+  }
+
+  /** Requests of the first second of traffic find what the rate has filled since the start. */
+  @Test
+  void theOwnersAllowanceFillsBeforeTheFirstRequest() {
+    Play play = new Play(1, 0);
+    int owner = play.owner();
+    play.restart(owner);
+    play.nowMillis += 2_000;
+    int asker = owner == 0 ? 1 : 0;
+    assertThat(play.take(asker, 9_000).isGranted()).isTrue();
+    assertThat(play.take(asker, 6_000).isGranted()).isTrue();
+  }
+
   @Test
   void anotherInstanceTakesOverWhenTheOwnersRegistrationHasEndedAndItIsSilent() {
     Play play = new Play(3, 0);
@@ -174,6 +248,8 @@
     private final double[] weights = new double[INSTANCES];
     private final List<double[]> granted = new ArrayList<>();
     private double lostReplies;
+    private boolean hasFreeSlots;
+    private double freeSlotsShare;
     private double totalWeight;
     private double nowMillis = 1;
     private final Allowance single = new Allowance(0);
@@ -207,6 +283,7 @@
         double cost =
             Math.min(LARGEST_COST, MEAN_COST / 1.8 * Math.exp(1.1 * random.nextGaussian()));
         long nowNanos = (long) (nowMillis * TimeUnit.MILLISECONDS.toNanos(1));
+        hasFreeSlots = freeSlotsShare > 0 && random.nextDouble() < freeSlotsShare;
         missing += single.tryOverdraw(cost, singleTerms, nowNanos) == 0 ? cost : 0;
         missing -= take(pick(), cost).isGranted() ? cost : 0;
         mostMissing = Math.max(mostMissing, missing);
@@ -364,7 +441,7 @@
       }
 
       private Decision take(double cost) {
-        return allowances.take(customer, cost).join();
+        return allowances.take(customer, cost, hasFreeSlots).join();
       }
 
       private CompletableFuture<byte[]> call(
