--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -8,8 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
-import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.catalog.Service;
@@ -67,12 +65,18 @@
   /** How long a slot of a full endpoint takes to become free, in milliseconds; a few turns. */
   private static final long SLOT_WAIT_MILLIS = 80;
 
+  /** Answers show speed as long as no more than this part of the prompt may have been kept. */
+  private static final double MAX_GUESSED_SHARE = 0.3;
+
+  /**
+   * How far the expected time to the first event varies from one decision to the next. Instances
+   * that know the same would otherwise all choose the same endpoint.
+   */
+  private static final double SPREAD_SHARE = 0.05;
+
   /** Expected lengths are often exceeded by this factor; one in five exceeds it further. */
   private static final double LENGTH_MARGIN = 1.5;
 
-  /** Assumed until the first answer: a prompt token takes this many milliseconds. */
-  private static final double INITIAL_MILLIS_PER_TOKEN = 0.04;
-
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final String selfId;
@@ -81,9 +85,11 @@
   private final Map<String, EndpointLoad> endpoints = new HashMap<>();
   private final WaitingLine line = new WaitingLine();
   private final AnswerLengths lengths = new AnswerLengths();
+  private final PromptAffinity affinity = new PromptAffinity();
   private Service service;
   private List<String> instanceIds = List.of();
   private long scarceUntilNanos = Long.MIN_VALUE / 2;
+  private SpeedSummary speeds;
 
   /** Creates a dispatcher without endpoints. */
   public Dispatcher(Service service, String selfId, String ownDomain, RandomGenerator random) {
@@ -101,6 +107,7 @@
   /** Takes over the live instances, which share what is bounded over all of them. */
   public void setInstances(List<String> newInstanceIds) {
     instanceIds = List.copyOf(newInstanceIds);
+    affinity.setInstances(instanceIds.size());
   }
 
   /** Takes over the endpoints that may get requests; attempts at others go on. */
@@ -116,6 +123,9 @@
       }
       endpoints.put(endpoint.id(), load);
     }
+    speeds = null;
+    affinity.setEndpoints(
+        endpoints.keySet(), usable.stream().mapToInt(Endpoint::capacity).max().orElse(1));
   }
 
   /** Returns whether any endpoint may get requests. */
@@ -146,6 +156,7 @@
         request.markLong();
       }
       line.onArrival(request, nowNanos);
+      affinity.onArrival(request.sharedPrompt(), nowNanos);
     }
     if (line.size() >= MAX_WAITING) {
       refuse(request, ErrorKind.QUEUE_FULL, "too many requests wait", 0, nowNanos);
@@ -180,9 +191,15 @@
 
   /** The first event of an answer, or a whole plain answer, has arrived. */
   public void onFirstEvent(Placement placement, double millis) {
+    speeds = null;
+    WaitingRequest request = placement.request();
+    double keptTokens = affinity.keptTokens(request.sharedPrompt(), placement.endpoint().id());
+    if (keptTokens > MAX_GUESSED_SHARE * request.size().promptTokens()) {
+      // Whether the endpoint has read these tokens decides the time; it says little of its speed.
+      return;
+    }
     load(placement)
-        .ifPresent(
-            load -> load.speed().onFirstEvent(placement.request().size().promptTokens(), millis));
+        .ifPresent(load -> load.speed().onFirstEvent(request.size().promptTokens(), millis));
   }
 
   /**
@@ -191,6 +208,7 @@
    * @param millis from its first event to its last
    */
   public void onStreamEnd(Placement placement, int events, double millis) {
+    speeds = null;
     lengths.onAnswer(placement.request().size().expectedOutputTokens(), events);
     load(placement).ifPresent(load -> load.speed().onStream(events, millis));
   }
@@ -220,7 +238,7 @@
   public long dispatch(long nowNanos) {
     refuseHopeless(nowNanos);
     long nextNanos = line.nextDueNanos(this::patienceEndNanos);
-    double commonMillisPerEvent = commonMillisPerEvent();
+    double commonMillisPerEvent = speeds().millisPerEvent();
     List<WaitingRequest> ordered =
         line.ordered(
             this::latestStartNanos,
@@ -244,12 +262,7 @@
 
   /** Returns the expected time to the first event at the fastest endpoint, in milliseconds. */
   public double bestFirstMillis(long promptTokens) {
-    double common = commonMillisPerToken();
-    double best = Double.MAX_VALUE;
-    for (EndpointLoad load : endpoints.values()) {
-      best = Math.min(best, load.speed().expectedFirstMillis(promptTokens, common));
-    }
-    return best == Double.MAX_VALUE ? common * (promptTokens + SpeedEstimate.FIXED_TOKENS) : best;
+    return speeds().bestMillisPerToken() * (promptTokens + SpeedEstimate.FIXED_TOKENS);
   }
 
   private record Choice(EndpointLoad load, long nextNanos) {}
@@ -267,9 +280,9 @@
             ? 0
             : TimeUnit.MILLISECONDS.toNanos(
                 RANK_PAUSE_MILLIS * Math.min(MAX_RANK_PAUSES, request.rank().routeRank()));
-    double common = commonMillisPerToken();
+    double common = speeds().millisPerToken();
     double events = events(request);
-    double commonMillisPerEvent = events > 0 ? commonMillisPerEvent() : 0;
+    double commonMillisPerEvent = events > 0 ? speeds().millisPerEvent() : 0;
     double slackMillis = (request.goalNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     double leftMillis = (request.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     boolean isScarce = nowNanos - scarceUntilNanos < 0;
@@ -283,7 +296,10 @@
       if (!request.mayUse(load.endpoint().id()) || load.isGone()) {
         continue;
       }
-      double firstMillis = firstMillis(load, request, common);
+      double tokensToRead =
+          request.size().promptTokens()
+              - affinity.keptTokens(request.sharedPrompt(), load.endpoint().id());
+      double firstMillis = firstMillis(load, tokensToRead, common);
       double ownMillisPerEvent = load.speed().millisPerEvent();
       double streamMillis =
           events * (ownMillisPerEvent > 0 ? ownMillisPerEvent : commonMillisPerEvent);
@@ -305,6 +321,8 @@
               firstMillis,
               slackMillis,
               load.speed().isKnown() ? load.speed().millisPerToken() / common : 1,
+              (tokensToRead + SpeedEstimate.FIXED_TOKENS)
+                  / (request.size().promptTokens() + SpeedEstimate.FIXED_TOKENS),
               !load.endpoint().failureDomain().equals(ownDomain),
               load.errorShare(),
               isScarce,
@@ -332,9 +350,10 @@
         load.warmEnoughNanos(service, selfId, instanceIds, nowNanos));
   }
 
-  private static double firstMillis(EndpointLoad load, WaitingRequest request, double common) {
+  private double firstMillis(EndpointLoad load, double tokensToRead, double common) {
     double occupied = 1 + (double) load.running() / Math.max(1, load.endpoint().capacity());
-    return occupied * load.speed().expectedFirstMillis(request.size().promptTokens(), common);
+    double spread = 1 + SPREAD_SHARE * (random.nextDouble() - 0.5);
+    return spread * occupied * load.speed().expectedFirstMillis(tokensToRead, common);
   }
 
   /** Returns the expected number of events of the answer; 0 when nothing is known. */
@@ -353,26 +372,11 @@
     return Math.min(capacity, Math.max(2, share));
   }
 
-  private double commonMillisPerToken() {
-    return mean(SpeedEstimate::isKnown, SpeedEstimate::millisPerToken, INITIAL_MILLIS_PER_TOKEN);
-  }
-
-  private double commonMillisPerEvent() {
-    return mean(speed -> speed.millisPerEvent() > 0, SpeedEstimate::millisPerEvent, 0);
-  }
-
-  /** Returns the mean over the endpoints of which a value is known, or {@code unknown}. */
-  private double mean(
-      Predicate<SpeedEstimate> isKnown, ToDoubleFunction<SpeedEstimate> value, double unknown) {
-    double sum = 0;
-    int count = 0;
-    for (EndpointLoad load : endpoints.values()) {
-      if (isKnown.test(load.speed())) {
-        sum += value.applyAsDouble(load.speed());
-        count++;
-      }
+  private SpeedSummary speeds() {
+    if (speeds == null) {
+      speeds = SpeedSummary.of(endpoints.values());
     }
-    return count == 0 ? unknown : sum / count;
+    return speeds;
   }
 
   private void refuseHopeless(long nowNanos) {
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointPreference.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointPreference.java
@@ -8,8 +8,11 @@
   /** The part of the time left to the goal within which a first event is comfortably on time. */
   private static final double COMFORTABLE_SHARE = 0.4;
 
-  /** What a request to another failure domain costs more, in milliseconds; a tie-break. */
-  private static final double OTHER_DOMAIN_MILLIS = 2;
+  /**
+   * What a request to another failure domain costs more, in milliseconds: the reservation and the
+   * request go there and back, a millisecond or more each way.
+   */
+  private static final double OTHER_DOMAIN_MILLIS = 6;
 
   /** The share of answers that count as good at least, so that a bad endpoint is tried at times. */
   private static final double MIN_GOOD_SHARE = 0.1;
@@ -28,6 +31,8 @@
    * @param firstMillis the expected time to the first event
    * @param slackMillis the time left to the goal
    * @param relativeSlowness how slow the endpoint is compared with the others; 1 for the average
+   * @param relativeWork the part of the request's work that is left at the endpoint; less than 1
+   *     when it has read a part of the prompt
    * @param isOtherDomain whether the endpoint is in another failure domain
    * @param errorShare the share of answers that failed
    * @param isScarce whether endpoints have refused requests for lack of slots lately
@@ -37,6 +42,7 @@
       double firstMillis,
       double slackMillis,
       double relativeSlowness,
+      double relativeWork,
       boolean isOtherDomain,
       double errorShare,
       boolean isScarce,
@@ -44,7 +50,7 @@
     double goodShare = Math.max(MIN_GOOD_SHARE, 1 - errorShare);
     boolean isComfortable = firstMillis <= COMFORTABLE_SHARE * slackMillis;
     if (isScarce && isComfortable && endsInTime) {
-      return 1 / (Math.max(0.01, relativeSlowness) * goodShare);
+      return relativeWork / (Math.max(0.01, relativeSlowness) * goodShare);
     }
     double millis = firstMillis + (isOtherDomain ? OTHER_DOMAIN_MILLIS : 0);
     return (isScarce ? NOT_COMFORTABLE : 0) + (endsInTime ? 0 : ENDS_LATE) + millis / goodShare;
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/SpeedEstimate.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/SpeedEstimate.java
@@ -53,8 +53,8 @@
   }
 
   /** Returns the expected time to the first event when nothing else is known. */
-  double expectedFirstMillis(long promptTokens, double defaultMillisPerToken) {
+  double expectedFirstMillis(double tokensToRead, double defaultMillisPerToken) {
     double each = isKnown() ? millisPerToken : defaultMillisPerToken;
-    return each * (promptTokens + FIXED_TOKENS);
+    return each * (tokensToRead + FIXED_TOKENS);
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
@@ -10,6 +10,7 @@
   private final String kindName;
   private final Rank rank;
   private final RequestSize size;
+  private final SharedPrompt sharedPrompt;
   private final long arrivalNanos;
   private final long goalNanos;
   private final long deadlineNanos;
@@ -47,6 +48,7 @@
       String kindName,
       Rank rank,
       RequestSize size,
+      SharedPrompt sharedPrompt,
       long arrivalNanos,
       long goalNanos,
       long deadlineNanos,
@@ -56,6 +58,7 @@
     this.kindName = kindName;
     this.rank = rank;
     this.size = size;
+    this.sharedPrompt = sharedPrompt;
     this.arrivalNanos = arrivalNanos;
     this.goalNanos = goalNanos;
     this.deadlineNanos = deadlineNanos;
@@ -78,6 +81,10 @@
     return size;
   }
 
+  SharedPrompt sharedPrompt() {
+    return sharedPrompt;
+  }
+
   /** Keeps the request away from an endpoint that has failed it. */
   public void exclude(String endpointId) {
     excludedEndpoints.add(endpointId);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.buckthornferry.dispatch.SharedPrompt;
 
 /**
  * A request as a caller sent it.
@@ -16,6 +17,7 @@
  * @param outputTokens the most tokens of the answer; 0 when not stated
  * @param expectedOutputTokens the caller's guess of the answer's length; 0 when not stated
  * @param totalTokens what the request counts towards an allowance; negative when not stated
+ * @param sharedPrompt the beginning of the prompt that other requests may have too
  * @param lastEventId the event after which a stream goes on
  */
 @SuppressWarnings("ArrayRecordComponent") // The body is handed on and never changed.
@@ -32,6 +34,7 @@
     long outputTokens,
     long expectedOutputTokens,
     long totalTokens,
+    SharedPrompt sharedPrompt,
     Optional<String> lastEventId) {
 
   /** Returns the path without the query. */
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -118,6 +118,7 @@
                 request.promptTokens(),
                 request.promptTokens() + request.outputTokens(),
                 request.expectedOutputTokens()),
+            request.sharedPrompt(),
             arrivalNanos,
             arrivalNanos + TimeUnit.MILLISECONDS.toNanos(route.goalMillis() - waitedMillis),
             deadlineNanos,
--- a/buckthornferry/src/main/java/org/buckthornferry/util/Rendezvous.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/util/Rendezvous.java
@@ -1,6 +1,9 @@
 package org.buckthornferry.util;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -33,6 +36,13 @@
     return before;
   }
 
+  /** Returns the candidates in their order for a key. */
+  public static List<String> order(String key, Collection<String> candidates) {
+    List<String> ordered = new ArrayList<>(candidates);
+    ordered.sort(Comparator.comparingLong(candidate -> -weight(key, candidate)));
+    return List.copyOf(ordered);
+  }
+
   private static long weight(String key, String candidate) {
     long hash = key.hashCode() * 0x9E3779B97F4A7C15L + candidate.hashCode();
     hash = (hash ^ (hash >>> 32)) * 0xD6E8FEB86659FD93L;
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherLoadTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherLoadTest.java
@@ -203,6 +203,7 @@
             "kind" + caller.rank,
             new Rank(1, caller.rank),
             new RequestSize(0, 1, caller.expectedTokens),
+            SharedPrompt.NONE,
             nanos(nowMillis),
             nanos(caller.firstMillis + GOAL_MILLIS),
             nanos(nowMillis + limit),
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -303,6 +303,7 @@
         "kind" + rank,
         new Rank(1, rank),
         size,
+        SharedPrompt.NONE,
         millis(arrivalMillis),
         millis(arrivalMillis + 1_000),
         millis(arrivalMillis + 10_000),
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/PromptAffinityTest.java
@@ -0,0 +1,187 @@
+package org.buckthornferry.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.catalog.Service;
+import org.buckthornferry.catalog.Service.Reservations;
+import org.buckthornferry.error.ErrorKind;
+import org.buckthornferry.http.Addresses;
+import org.junit.jupiter.api.Test;
+
+final class PromptAffinityTest {
+  private static final List<String> ENDPOINTS = ids("e", 56);
+  private static final SharedPrompt LONG = new SharedPrompt("long", "branch", 18_000);
+  private static final SharedPrompt SHORT = new SharedPrompt("short", "branch", 400);
+
+  @Test
+  void instancesThatDoNotTalkExpectAPromptAtTheSameEndpoint() {
+    assertThat(homesOf(affinity(95), LONG)).isEqualTo(homesOf(affinity(95), LONG));
+    assertThat(homesOf(affinity(95), LONG)).hasSize(1);
+  }
+
+  @Test
+  void aShortPromptThatIsAskedForOftenHasManyEndpoints() {
+    PromptAffinity affinity = affinity(95);
+    for (int i = 0; i < 5; i++) {
+      affinity.onArrival(SHORT, millis(1_000L * i));
+    }
+    assertThat(homesOf(affinity, SHORT).size()).isAtLeast(8);
+  }
+
+  @Test
+  void aLongPromptKeepsToOneEndpointHoweverOftenItIsAskedFor() {
+    PromptAffinity affinity = affinity(95);
+    for (int i = 0; i < 20; i++) {
+      affinity.onArrival(LONG, millis(100L * i));
+    }
+    assertThat(homesOf(affinity, LONG)).hasSize(1);
+  }
+
+  @Test
+  void onlyThePromptsOfAnEndpointThatLeavesMove() {
+    PromptAffinity before = affinity(95);
+    PromptAffinity after = affinity(95);
+    String gone = ENDPOINTS.get(7);
+    after.setEndpoints(ENDPOINTS.stream().filter(id -> !id.equals(gone)).toList(), 4);
+    for (int i = 0; i < 200; i++) {
+      SharedPrompt prompt = new SharedPrompt("p" + i, "b", 9_000);
+      before.onArrival(prompt, 0);
+      after.onArrival(prompt, 0);
+      Set<String> homes = homesOf(before, prompt);
+      if (!homes.contains(gone)) {
+        assertThat(homesOf(after, prompt)).isEqualTo(homes);
+      }
+    }
+  }
+
+  @Test
+  void nothingIsExpectedOfAPromptThatSharesNothing() {
+    PromptAffinity affinity = affinity(95);
+    affinity.onArrival(SharedPrompt.NONE, 0);
+    assertThat(affinity.keptTokens(SharedPrompt.NONE, ENDPOINTS.get(0))).isEqualTo(0);
+  }
+
+  /** Forty long documents, each asked for eight times, through instances that do not talk. */
+  @Test
+  void requestsThroughManyInstancesReadASharedPromptAboutOnce() {
+    for (int instances : new int[] {10, 100, 300}) {
+      double withAffinity = tokensRead(instances, true);
+      double without = tokensRead(instances, false);
+      // All distinct tokens once: an eighth of the documents' part, and each request's own part.
+      double least = 40 * 10_000 + 320 * 1_000;
+      assertThat(withAffinity).isAtMost(1.5 * least);
+      assertThat(withAffinity).isLessThan(0.5 * without);
+    }
+  }
+
+  private static double tokensRead(int instances, boolean isShared) {
+    SplittableRandom random = new SplittableRandom(11);
+    List<Dispatcher> dispatchers = new ArrayList<>();
+    for (String id : ids("i", instances)) {
+      Dispatcher dispatcher =
+          new Dispatcher(service(), id, "d" + random.nextInt(5), random.split());
+      dispatcher.setEndpoints(ENDPOINTS.stream().map(PromptAffinityTest::endpoint).toList());
+      dispatcher.setInstances(ids("i", instances));
+      dispatchers.add(dispatcher);
+    }
+    Map<String, Set<String>> readAt = new HashMap<>();
+    double[] tokens = {0};
+    for (int i = 0; i < 320; i++) {
+      String document = "doc" + random.nextInt(40);
+      SharedPrompt prompt = new SharedPrompt(document, document + "-" + i, 10_000);
+      Dispatcher dispatcher = dispatchers.get(random.nextInt(instances));
+      long now = millis(100L * i);
+      WaitingRequest request =
+          new WaitingRequest(
+              "r" + i,
+              "kind",
+              new Rank(0, 0),
+              new RequestSize(11_000, 12_000, 0),
+              isShared ? prompt : SharedPrompt.NONE,
+              now,
+              now + millis(1_000),
+              now + millis(10_000),
+              false,
+              new WaitingRequest.Listener() {
+                @Override
+                public void onPlaced(Placement placement) {
+                  boolean isNew =
+                      readAt
+                          .computeIfAbsent(placement.endpoint().id(), id -> new HashSet<>())
+                          .add(document);
+                  tokens[0] += isNew ? 11_000 : 1_000;
+                  dispatcher.onSent(placement, now);
+                  dispatcher.onEnded(placement, false, AttemptOutcome.COMPLETED, now);
+                }
+
+                @Override
+                public void onRefused(ErrorKind reason, String detail, long retryAfterMillis) {
+                  throw new IllegalStateException(detail);
+                }
+              });
+      dispatcher.submit(request, now);
+      dispatcher.dispatch(now);
+    }
+    return tokens[0];
+  }
+
+  private static PromptAffinity affinity(int instances) {
+    PromptAffinity affinity = new PromptAffinity();
+    affinity.setInstances(instances);
+    affinity.setEndpoints(ENDPOINTS, 4);
+    affinity.onArrival(LONG, 0);
+    affinity.onArrival(SHORT, 0);
+    return affinity;
+  }
+
+  private static Set<String> homesOf(PromptAffinity affinity, SharedPrompt prompt) {
+    Set<String> homes = new HashSet<>();
+    for (String id : ENDPOINTS) {
+      if (affinity.keptTokens(prompt, id) > 0) {
+        homes.add(id);
+      }
+    }
+    return homes;
+  }
+
+  private static List<String> ids(String prefix, int count) {
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ids.add(prefix + "-" + Integer.toHexString(i * 7_919));
+    }
+    return ids;
+  }
+
+  private static Service service() {
+    return new Service("models", 100, 0, 0, Optional.of(new Reservations(2_000)));
+  }
+
+  private static Endpoint endpoint(String id) {
+    int index = ENDPOINTS.indexOf(id);
+    return new Endpoint(
+        id,
+        "models",
+        Addresses.parse("127.0.0.1:" + (2_000 + index)),
+        "d" + index % 5,
+        "v1",
+        4,
+        false,
+        0,
+        1,
+        0);
+  }
+
+  private static long millis(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+}
