Bound what servers in trouble send, and count whole events as progress

Change: skipped responses and bytes are bounded for each request, replies to reservations carry no attempt id, collected bodies have a stated size, progress means events that are not comments, silence is checked again, and users of the copy fail by themselves. Tests over loopback with servers that do not stop sending: head, interim answers, chunk size, trailers, body, bytes behind an answer, a late copy; a stream of comments; a late copy before a reservation. StoreViewTest for the exception.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/StoreView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/StoreView.java
@@ -94,11 +94,20 @@
           changes.isPresent()
               && changes.get().stream().noneMatch(item -> item.key().startsWith(section.prefix()));
       if (!isUnchanged) {
-        section.onChanged();
+        publish(section);
       }
     }
   }
 
+  /** What one user makes of the items must keep neither the others nor this copy from going on. */
+  private static void publish(Section section) {
+    try {
+      section.onChanged();
+    } catch (RuntimeException e) {
+      LOG.errorf(e, "store.change_failed prefix=%s", section.prefix());
+    }
+  }
+
   private final class Listener implements PrefixFollower.Listener {
     @Override
     public void onChanged(PrefixFollower changed) {
--- a/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
@@ -13,11 +13,24 @@
 
 /** Delivers the response of one connection to the call that is in progress on it. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+  /**
+   * The most responses that are skipped for one request: interim ones, and late copies of responses
+   * to earlier requests. A server that sends more is in trouble.
+   */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
+
+  /** The most bytes of skipped bodies for one request; a usual answer is far smaller. */
+  private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
   private PendingCall call;
   private boolean skipping;
+  private int skippedResponses;
+  private long skippedBytes;
 
   void begin(PendingCall newCall) {
     call = newCall;
+    skippedResponses = 0;
+    skippedBytes = 0;
   }
 
   @Override
@@ -30,12 +43,21 @@
       skipping =
           response.status().codeClass() == HttpStatusClass.INFORMATIONAL
               || !call.isOwnResponse(response.status().code(), response.headers());
-      if (!skipping) {
+      if (skipping) {
+        skippedResponses++;
+      } else {
         call.onHead(response.status().code(), response.headers(), HttpUtil.isKeepAlive(response));
       }
     }
-    if (message instanceof HttpContent content && !skipping) {
-      onContent(content);
+    if (message instanceof HttpContent content) {
+      if (skipping) {
+        skippedBytes += content.content().readableBytes();
+      } else {
+        onContent(content);
+      }
+    }
+    if (skippedResponses > MAX_SKIPPED_RESPONSES || skippedBytes > MAX_SKIPPED_BYTES) {
+      failAndClose(context, new IOException("too many responses to other requests"));
     }
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Predicate;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -37,6 +38,12 @@
 public final class HttpConnector {
   private static final int MAX_IDLE_PER_ADDRESS = 256;
 
+  /**
+   * The largest response that is collected unless a call says less, in bytes: several of the
+   * store's largest values or pages. Collecting takes up to three times as much memory.
+   */
+  private static final int MAX_COLLECTED_BYTES = 16 << 20;
+
   /**
    * The share of a server's stated idle time during which a connection is reused; the rest covers
    * the way of a request to the server.
@@ -158,10 +165,25 @@
       Map<String, String> headers,
       byte[] body,
       long timeoutMillis) {
-    return exchange(address, method, pathAndQuery, headers, body, Reuse.FRESH, timeoutMillis);
+    return exchange(
+        address,
+        method,
+        pathAndQuery,
+        headers,
+        body,
+        Reuse.FRESH,
+        fields -> true,
+        MAX_COLLECTED_BYTES,
+        timeoutMillis);
   }
 
-  /** Sends a request like the other method, on a connection as {@code reuse} says. */
+  /**
+   * Sends a request like the other method, on a connection as {@code reuse} says.
+   *
+   * @param isOwn whether a response with these header fields answers the request; others are
+   *     skipped, because they answer earlier requests on the connection
+   * @param maxBodyBytes the largest response body; the request fails when more arrives
+   */
   public CompletableFuture<HttpReply> exchange(
       InetSocketAddress address,
       String method,
@@ -169,8 +191,10 @@
       Map<String, String> headers,
       byte[] body,
       Reuse reuse,
+      Predicate<HttpHeaders> isOwn,
+      int maxBodyBytes,
       long timeoutMillis) {
-    CollectingListener listener = new CollectingListener();
+    CollectingListener listener = new CollectingListener(isOwn, maxBodyBytes);
     HttpHeaders fields = fields(address, headers);
     HttpCall call = send(address, method, pathAndQuery, fields, body, reuse, listener);
     ScheduledFuture<?> timeout =
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -136,6 +136,7 @@
             viewClock);
     this.view = new StoreView(sharedStore, changes, scheduler, viewClock, random);
     ChangeFeed feed = new ChangeFeed(view, scheduler, viewClock);
+    peers.respondLater(PeerMessageKind.CHANGES, feed::answer);
     this.deployment =
         new DeploymentController(
             view, source, blackboard, relay::refresh, scheduler, MonotonicClock.SYSTEM);
@@ -154,7 +155,6 @@
     this.views = new ViewExchange(peers, view, this::otherInstances, scheduler, random);
     peers.respondTo(PeerMessageKind.VIEW, views::answer);
     peers.respondTo(PeerMessageKind.ALLOWANCE, allowances::answer);
-    peers.respondLater(PeerMessageKind.CHANGES, feed::answer);
     this.callerServer =
         new HttpServer(
             settings.callerAddress(),
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointProtocol.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointProtocol.java
@@ -11,9 +11,12 @@
   /** Returns the header fields of a request to an endpoint. */
   HttpHeaders requestHeaders(Dispatch dispatch);
 
-  /** Returns whether an answer belongs to a request; a missing id counts as another request's. */
+  /** Returns whether an answer belongs to a request; one without an id does. */
   boolean isAnswerTo(String requestId, HttpHeaders headers);
 
+  /** Returns whether an answer belongs to a call of the protocol itself; such calls have no id. */
+  boolean isAnswerToCall(HttpHeaders headers);
+
   /** Reads the head of an answer. */
   AnswerHead decodeHead(int status, HttpHeaders headers);
 
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/EventSplitter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/EventSplitter.java
@@ -33,6 +33,19 @@
     scanned -= start;
   }
 
+  /** Returns whether a block holds nothing but comments and blank lines. */
+  static boolean isComment(byte[] event) {
+    boolean isLineStart = true;
+    for (byte character : event) {
+      boolean isLineEnd = character == '\n' || character == '\r';
+      if (isLineStart && !isLineEnd && character != ':') {
+        return false;
+      }
+      isLineStart = isLineEnd;
+    }
+    return true;
+  }
+
   /** Returns whether a part of an event is left that has not ended. */
   boolean hasPartialEvent() {
     return length > 0;
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -270,7 +270,7 @@
     environment.metrics().admitted.inc();
     LOG.infof(
         "request.admitted id=%s route=%s service=%s customer=%s config=%d waiting=%d"
-            + " promptTokens=%d outputTokens=%d rank=%s budgetMillis=%d returned=%s",
+            + " promptTokens=%d sharedPart=%s outputTokens=%d rank=%s budgetMillis=%d returned=%s",
         request.requestId(),
         route.name(),
         arrival.queue.serviceName(),
@@ -278,6 +278,7 @@
         environment.blackboard().read(Catalog.ENTRY).version(),
         arrival.queue.waiting(),
         request.promptTokens(),
+        request.sharedPrompt().rootId(),
         request.outputTokens(),
         relayed.rank().customerRank() + "." + relayed.rank().routeRank(),
         request.timeBudgetMillis().orElse(-1),
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -33,6 +33,9 @@
   /** How long an endpoint may take to answer a reservation, in milliseconds; it needs no slot. */
   private static final long RESERVE_TIMEOUT_MILLIS = 300;
 
+  /** The largest answer to a reservation, in bytes; it holds an id. */
+  private static final int MAX_RESERVATION_BYTES = 64 << 10;
+
   /** Less time than this is not worth an attempt, in milliseconds. */
   private static final long MIN_ATTEMPT_MILLIS = 15;
 
@@ -257,6 +260,8 @@
             call.headers(),
             call.body(),
             reuse,
+            environment.endpoints()::isAnswerToCall,
+            MAX_RESERVATION_BYTES,
             RESERVE_TIMEOUT_MILLIS);
   }
 
@@ -511,6 +516,8 @@
         return;
       }
       if (attempts >= route.maxAttempts() || queue.endpointCount() < 2 || !queue.tryRepeat()) {
+        // The endpoint may still go on, and a repeat may be affordable later.
+        watchForSilence(limitMillis);
         return;
       }
       waiting.exclude(placement.endpoint().id());
@@ -568,7 +575,6 @@
         return;
       }
       if (isEventStream()) {
-        lastProgressNanos = environment.clock().nanoTime();
         splitter.accept(part, this::onEvent);
         if (splitter.partialBytes() > EventSplitter.MAX_EVENT_BYTES) {
           cancel(AttemptOutcome.BROKEN);
@@ -606,6 +612,13 @@
       if (phase == Phase.ENDED) {
         return;
       }
+      if (EventSplitter.isComment(event)) {
+        // Keeps the connection open, but brings the answer no further.
+        forwardHead();
+        exchange.write(event);
+        return;
+      }
+      lastProgressNanos = environment.clock().nanoTime();
       events++;
       Optional<String> id = EventId.of(event);
       boolean isRepetition =
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/StoreViewTest.java
@@ -0,0 +1,69 @@
+package org.buckthornferry.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.buckthornferry.store.StoreWatch;
+import org.buckthornferry.testing.FakeSharedStore;
+import org.buckthornferry.testing.ManualScheduler;
+import org.junit.jupiter.api.Test;
+
+final class StoreViewTest {
+  private final ManualScheduler time = new ManualScheduler();
+  private final FakeSharedStore store = new FakeSharedStore(time);
+  private final StoreView view =
+      new StoreView(
+          store,
+          new StoreWatch(store, StoreView.EVERYTHING, () -> 1_000, time),
+          time,
+          time,
+          new SplittableRandom(1));
+  private final List<String> heard = new ArrayList<>();
+
+  @Test
+  void aUserHearsOfChangesUnderItsOwnPrefixOnly() {
+    listen("a/", false);
+    listen("b/", false);
+    view.start();
+    heard.clear();
+    store.put("a/1", "v");
+    time.advance(500);
+    store.remove("a/1");
+    time.advance(500);
+    assertThat(heard).containsExactly("a/", "a/");
+  }
+
+  @Test
+  void aUserThatFailsKeepsNeitherTheOthersNorTheCopyFromGoingOn() {
+    listen("a/", true);
+    listen("a/1", false);
+    view.start();
+    heard.clear();
+    store.put("a/1", "v");
+    time.advance(500);
+    store.put("a/12", "w");
+    time.advance(500);
+    assertThat(heard).containsExactly("a/1", "a/1");
+    assertThat(view.items("a/")).hasSize(2);
+  }
+
+  private void listen(String prefix, boolean fails) {
+    view.add(
+        new StoreView.Section() {
+          @Override
+          public String prefix() {
+            return prefix;
+          }
+
+          @Override
+          public void onChanged() {
+            if (fails) {
+              throw new IllegalStateException("unexpected value");
+            }
+            heard.add(prefix);
+          }
+        });
+  }
+}
--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.MultithreadEventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -13,10 +14,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import org.buckthornferry.http.HttpConnector.Reuse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,6 +36,8 @@
   private final AtomicInteger connections = new AtomicInteger();
   private ServerSocket server;
   private volatile String answer = ANSWER + "\r\nok";
+  private volatile String endlessly = "";
+  private final CompletableFuture<Boolean> closedByClient = new CompletableFuture<>();
   private volatile boolean closesAfterAnswer;
   private volatile boolean resetsAfterAnswer;
 
@@ -111,13 +116,87 @@
     assertThat(failure().bytesSent()).isTrue();
   }
 
+  @Test
+  void interimAnswersWithoutEndFail() {
+    answer = "";
+    endlessly = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    assertThat(failure()).hasMessageThat().contains("too many responses");
+    assertThat(isClosedByClient()).isTrue();
+  }
+
+  @Test
+  void aHeadWithoutEndFails() {
+    answer = "HTTP/1.1 200 OK\r\n";
+    endlessly = "X-Padding: " + "x".repeat(1_000) + "\r\n";
+    assertThat(failure().bytesSent()).isTrue();
+    assertThat(isClosedByClient()).isTrue();
+  }
+
+  @Test
+  void aBodyWithoutEndFailsAtTheStatedSize() {
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    endlessly = "400\r\n" + "x".repeat(1_024) + "\r\n";
+    assertThat(failure()).hasMessageThat().contains("response exceeds 65536 bytes");
+    assertThat(isClosedByClient()).isTrue();
+  }
+
+  @Test
+  void aChunkSizeWithoutEndFails() {
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    endlessly = "0".repeat(1_024);
+    assertThat(failure().bytesSent()).isTrue();
+    assertThat(isClosedByClient()).isTrue();
+  }
+
+  @Test
+  void trailersWithoutEndFail() {
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    endlessly = "X-Padding: " + "x".repeat(1_000) + "\r\n";
+    assertThat(failure().bytesSent()).isTrue();
+    assertThat(isClosedByClient()).isTrue();
+  }
+
+  @Test
+  void bytesWithoutEndBehindAnAnswerEndTheConnection() {
+    answer = ANSWER + "\r\nok";
+    endlessly = "x".repeat(1_024);
+    assertThat(get(Reuse.ANY).text()).isEqualTo("ok");
+    assertThat(isClosedByClient()).isTrue();
+  }
+
+  @Test
+  void aLateCopyOfAnEarlierAnswerIsSkipped() {
+    answer = ANSWER + "Id: earlier\r\n\r\nno" + ANSWER + "\r\nok";
+    assertThat(get(Reuse.ANY, fields -> !fields.contains("Id")).text()).isEqualTo("ok");
+  }
+
+  @Test
+  void aLateCopyWithoutEndFails() {
+    answer = "HTTP/1.1 200 OK\r\nId: earlier\r\nTransfer-Encoding: chunked\r\n\r\n";
+    endlessly = "400\r\n" + "x".repeat(1_024) + "\r\n";
+    CompletionException failed =
+        assertThrows(
+            CompletionException.class, () -> get(Reuse.ANY, fields -> !fields.contains("Id")));
+    assertThat(failed).hasMessageThat().contains("too many responses");
+    assertThat(isClosedByClient()).isTrue();
+  }
+
   @Test
   void aRefusedConnectionSaysThatNothingWasSent() throws IOException {
     server.close();
     assertThat(failure().bytesSent()).isFalse();
   }
 
+  /** Waits until the server could write no more; the time limit of the build ends it otherwise. */
+  private boolean isClosedByClient() {
+    return closedByClient.join();
+  }
+
   private HttpReply get(Reuse reuse) {
+    return get(reuse, fields -> true);
+  }
+
+  private HttpReply get(Reuse reuse, Predicate<HttpHeaders> isOwn) {
     return connector
         .exchange(
             new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
@@ -126,7 +205,9 @@
             Map.of(),
             new byte[0],
             reuse,
-            10_000)
+            isOwn,
+            64 << 10,
+            60_000)
         .join();
   }
 
@@ -157,6 +238,9 @@
         if (read.toString().endsWith("\r\n\r\n")) {
           read.setLength(0);
           socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+          while (!endlessly.isEmpty()) {
+            socket.getOutputStream().write(endlessly.getBytes(StandardCharsets.ISO_8859_1));
+          }
           if (resetsAfterAnswer) {
             socket.setSoLinger(true, 0);
             return;
@@ -167,8 +251,7 @@
         }
       }
     } catch (IOException e) {
-      // The client has closed the connection.
-      return;
+      closedByClient.complete(true);
     }
   }
 }
--- a/buckthornferry/src/test/java/org/buckthornferry/relay/EventSplitterTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/relay/EventSplitterTest.java
@@ -71,4 +71,13 @@
   private static String text(byte[] bytes) {
     return new String(bytes, StandardCharsets.UTF_8);
   }
+
+  @Test
+  void tellsCommentsFromEvents() {
+    assertThat(EventSplitter.isComment(bytes(": still here\n\n"))).isTrue();
+    assertThat(EventSplitter.isComment(bytes("\r\n"))).isTrue();
+    assertThat(EventSplitter.isComment(bytes(": a\r\n: b\r\n\r\n"))).isTrue();
+    assertThat(EventSplitter.isComment(bytes(": a\ndata: x\n\n"))).isFalse();
+    assertThat(EventSplitter.isComment(bytes("id: 1\n\n"))).isFalse();
+  }
 }
