--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -90,6 +90,8 @@
   private List<String> instanceIds = List.of();
   private long scarceUntilNanos = Long.MIN_VALUE / 2;
   private SpeedSummary speeds;
+  private long placed;
+  private long placedWithKnownSpeed;
 
   /** Creates a dispatcher without endpoints. */
   public Dispatcher(Service service, String selfId, String ownDomain, RandomGenerator random) {
@@ -133,6 +135,16 @@
     return !endpoints.isEmpty();
   }
 
+  /** Returns how often a request was sent to an endpoint, or a slot asked for, since the start. */
+  public long placed() {
+    return placed;
+  }
+
+  /** Returns how many of these decisions knew the endpoint's speed from own answers. */
+  public long placedWithKnownSpeed() {
+    return placedWithKnownSpeed;
+  }
+
   /** Returns the number of waiting requests. */
   public int waiting() {
     return line.size();
@@ -270,6 +282,8 @@
   private void place(WaitingRequest request, EndpointLoad load, long nowNanos) {
     long reservedMillis = service.reservations().map(Reservations::validMillis).orElse(0L);
     line.remove(request);
+    placed++;
+    placedWithKnownSpeed += load.speed().isKnown() ? 1 : 0;
     load.onPlaced(reservedMillis > 0, nowNanos);
     request.listener().onPlaced(new Placement(request, load.endpoint(), reservedMillis));
   }
@@ -320,7 +334,7 @@
           EndpointPreference.score(
               firstMillis,
               slackMillis,
-              load.speed().isKnown() ? load.speed().millisPerToken() / common : 1,
+              load.speed().expectedMillisPerToken(common) / common,
               (tokensToRead + SpeedEstimate.FIXED_TOKENS)
                   / (request.size().promptTokens() + SpeedEstimate.FIXED_TOKENS),
               !load.endpoint().failureDomain().equals(ownDomain),
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/SpeedEstimate.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/SpeedEstimate.java
@@ -14,7 +14,14 @@
   /** Shorter streams say little about the pace. */
   private static final int MIN_STREAM_EVENTS = 5;
 
-  /** The first samples weigh more, so that one answer is enough to tell fast from slow. */
+  /**
+   * How many answers the mean of all endpoints counts for beside the endpoint's own. The time of a
+   * single answer varies by half with what else the engine does; an endpoint that is several times
+   * slower than others is told apart all the same.
+   */
+  private static final double COMMON_SAMPLES = 2;
+
+  /** The first samples weigh more, so that a few answers are enough. */
   private int samples;
 
   private double millisPerToken;
@@ -52,9 +59,14 @@
     return millisPerToken;
   }
 
+  /** Returns the expected time for a prompt token, given the mean of all endpoints. */
+  double expectedMillisPerToken(double commonMillisPerToken) {
+    return (samples * millisPerToken + COMMON_SAMPLES * commonMillisPerToken)
+        / (samples + COMMON_SAMPLES);
+  }
+
   /** Returns the expected time to the first event when nothing else is known. */
-  double expectedFirstMillis(double tokensToRead, double defaultMillisPerToken) {
-    double each = isKnown() ? millisPerToken : defaultMillisPerToken;
-    return each * (tokensToRead + FIXED_TOKENS);
+  double expectedFirstMillis(double tokensToRead, double commonMillisPerToken) {
+    return expectedMillisPerToken(commonMillisPerToken) * (tokensToRead + FIXED_TOKENS);
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -177,6 +177,7 @@
     eventLoop.execute(
         () -> {
           view.start();
+          relay.start();
           instances.start();
           views.start();
         });
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -62,6 +62,9 @@
   /** The shortest pause before an allowance is asked again, in milliseconds. */
   private static final long MIN_ALLOWANCE_WAIT_MILLIS = 5;
 
+  /** The time between two lines about the load, in milliseconds. */
+  private static final long LOAD_LOG_MILLIS = 5_000;
+
   private final RelayEnvironment environment;
   private final Map<String, Long> longestBudgets = new HashMap<>();
   private final String selfId;
@@ -69,6 +72,7 @@
   private final RandomGenerator random;
   private final Map<String, ServiceQueue> queues = new HashMap<>();
   private final SharedAllowances allowances;
+  private final LoadLog loadLog;
   private int inProgress;
   private boolean isClosed;
 
@@ -95,6 +99,7 @@
             clock,
             new RelayMetrics(registry));
     this.allowances = allowances;
+    this.loadLog = new LoadLog(environment.metrics());
     this.selfId = selfId;
     this.ownDomain = ownDomain;
     this.random = random;
@@ -102,6 +107,16 @@
     registry.gauge("relay.waiting", () -> (Gauge<Integer>) this::waiting);
   }
 
+  /** Starts to log the load. */
+  public void start() {
+    environment.scheduler().schedule(this::logLoad, LOAD_LOG_MILLIS);
+  }
+
+  private void logLoad() {
+    loadLog.write(queues.values(), inProgress);
+    environment.scheduler().schedule(this::logLoad, LOAD_LOG_MILLIS);
+  }
+
   /** Takes over what has changed on the blackboard: configuration, endpoints or instances. */
   public void refresh() {
     Catalog catalog = environment.blackboard().read(Catalog.ENTRY);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -56,6 +56,14 @@
     return dispatcher.waiting();
   }
 
+  long placed() {
+    return dispatcher.placed();
+  }
+
+  long placedWithKnownSpeed() {
+    return dispatcher.placedWithKnownSpeed();
+  }
+
   boolean hasFreeSlots() {
     return dispatcher.hasFreeSlots(environment.clock().nanoTime());
   }
