--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -280,10 +280,10 @@
   private record Choice(EndpointLoad load, long nextNanos) {}
 
   private void place(WaitingRequest request, EndpointLoad load, long nowNanos) {
-    long reservedMillis = service.reservations().map(Reservations::validMillis).orElse(0L);
-    line.remove(request);
     placed++;
     placedWithKnownSpeed += load.speed().isKnown() ? 1 : 0;
+    line.remove(request);
+    long reservedMillis = service.reservations().map(Reservations::validMillis).orElse(0L);
     load.onPlaced(reservedMillis > 0, nowNanos);
     request.listener().onPlaced(new Placement(request, load.endpoint(), reservedMillis));
   }
