Refuse at once where no endpoint can be reached, and ask full endpoints less often in large fleets

Change: four endpoints in a row out of reach mean that the instance is cut off; it refuses what has not been sent and tries with one request in 300 ms. The pause before a full endpoint is asked again grows with the instances beyond eight. Tests that failed first: refused at once and one probe at a time; a request that has been sent stays; failing endpoints between good ones are no cut; 80 instances ask a full endpoint at most as often as 8 do.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -38,6 +38,12 @@
    */
   private static final long FULL_MILLIS_PER_ENDPOINT = 2;
 
+  /**
+   * Pauses grow with the instances beyond this number, so that a full endpoint is asked equally
+   * often however many instances wait for it.
+   */
+  private static final int FEW_INSTANCES = 8;
+
   /** The most waiting requests; beyond it the newest is refused. */
   private static final int MAX_WAITING = 512;
 
@@ -86,6 +92,7 @@
   private final WaitingLine line = new WaitingLine();
   private final AnswerLengths lengths = new AnswerLengths();
   private final PromptAffinity affinity = new PromptAffinity();
+  private final Reachability reachability = new Reachability();
   private Service service;
   private List<String> instanceIds = List.of();
   private long scarceUntilNanos = Long.MIN_VALUE / 2;
@@ -155,7 +162,12 @@
     return line.size() == 0 && scarceUntilNanos - nowNanos <= 0;
   }
 
-  /** Returns the endpoints that may get requests. */
+  /** Returns whether the endpoints seem to be out of reach of this instance. */
+  public boolean isCutOff() {
+    return reachability.isCutOff();
+  }
+
+  /** Returns the number of endpoints that may get requests. */
   public int endpointCount() {
     return endpoints.size();
   }
@@ -174,6 +186,13 @@
       refuse(request, ErrorKind.QUEUE_FULL, "too many requests wait", 0, nowNanos);
       return;
     }
+    if (reachability.isCutOff() && !mustStay(request)) {
+      if (!reachability.tryProbe(nowNanos)) {
+        refuseCutOff(request, nowNanos);
+        return;
+      }
+      request.markProbe();
+    }
     // A caller that learns at once that it would be late can use its time elsewhere.
     double waitMillis = isNew ? line.expectedWaitMillis(request, nowNanos) : 0;
     if (waitMillis > patienceMillis(request)) {
@@ -197,6 +216,7 @@
   public void onSent(Placement placement, long nowNanos) {
     line.onStarted(placement.request(), nowNanos);
     if (placement.reservesFirst()) {
+      reachability.onAnswered();
       load(placement).ifPresent(EndpointLoad::onReserved);
     }
   }
@@ -232,6 +252,12 @@
    */
   public void onEnded(
       Placement placement, boolean wasReserving, AttemptOutcome outcome, long nowNanos) {
+    switch (outcome) {
+      case UNREACHABLE -> reachability.onUnreachable(placement.endpoint().id(), nowNanos);
+      case COMPLETED, FAILED, FULL, FULL_AND_CLOSING, MISDIRECTED -> reachability.onAnswered();
+      case BROKEN, SILENT, ABANDONED -> {}
+      default -> throw new IllegalStateException("unknown outcome " + outcome);
+    }
     if (outcome == AttemptOutcome.FULL || outcome == AttemptOutcome.FULL_AND_CLOSING) {
       scarceUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SCARCE_MILLIS);
     }
@@ -242,7 +268,7 @@
                     wasReserving,
                     outcome,
                     0.75 + random.nextDouble() / 2,
-                    FULL_MILLIS_PER_ENDPOINT * endpoints.size(),
+                    (long) (crowding() * FULL_MILLIS_PER_ENDPOINT * endpoints.size()),
                     nowNanos));
   }
 
@@ -293,7 +319,10 @@
         request.isContinuation()
             ? 0
             : TimeUnit.MILLISECONDS.toNanos(
-                RANK_PAUSE_MILLIS * Math.min(MAX_RANK_PAUSES, request.rank().routeRank()));
+                (long)
+                    (crowding()
+                        * RANK_PAUSE_MILLIS
+                        * Math.min(MAX_RANK_PAUSES, request.rank().routeRank())));
     double common = speeds().millisPerToken();
     double events = events(request);
     double commonMillisPerEvent = events > 0 ? speeds().millisPerEvent() : 0;
@@ -396,7 +425,10 @@
   private void refuseHopeless(long nowNanos) {
     for (Iterator<WaitingRequest> requests = line.iterator(); requests.hasNext(); ) {
       WaitingRequest request = requests.next();
-      if (patienceEndNanos(request) - nowNanos <= 0) {
+      if (reachability.isCutOff() && !mustStay(request) && !request.isProbe()) {
+        requests.remove();
+        refuseCutOff(request, nowNanos);
+      } else if (patienceEndNanos(request) - nowNanos <= 0) {
         requests.remove();
         ErrorKind reason = hasEndpoints() ? ErrorKind.DEADLINE_UNREACHABLE : ErrorKind.NO_ENDPOINT;
         refuse(
@@ -409,6 +441,21 @@
     }
   }
 
+  /** Another instance cannot take over a request that has been sent or a stream that has begun. */
+  private static boolean mustStay(WaitingRequest request) {
+    return request.hasBeenSent() || request.isContinuation();
+  }
+
+  /** Another instance, at which the caller tries next, may reach the endpoints. */
+  private void refuseCutOff(WaitingRequest request, long nowNanos) {
+    refuse(request, ErrorKind.NO_ENDPOINT, "no endpoint can be reached from here", 0, nowNanos);
+  }
+
+  /** Returns by how many times there are more instances than few. */
+  private double crowding() {
+    return Math.max(1, instanceIds.size() / (double) FEW_INSTANCES);
+  }
+
   private long patienceEndNanos(WaitingRequest request) {
     return request.hasBeenSent()
         ? request.deadlineNanos()
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
@@ -19,6 +19,7 @@
   private final Set<String> excludedEndpoints = new HashSet<>();
   private boolean isLong;
   private boolean isContinuation;
+  private boolean isProbe;
   private boolean isCounted;
   private boolean hasBeenSent;
 
@@ -102,6 +103,15 @@
     isContinuation = true;
   }
 
+  /** Marks the request that tries whether endpoints that were out of reach answer again. */
+  void markProbe() {
+    isProbe = true;
+  }
+
+  boolean isProbe() {
+    return isProbe;
+  }
+
   /** Marks a request whose answer is expected to be long for its kind. */
   void markLong() {
     isLong = true;
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -70,6 +70,112 @@
     assertThat(placed.get(0).endpoint()).isEqualTo(fast);
   }
 
+  /** A caller that is refused at once comes back at an instance that reaches the endpoints. */
+  @Test
+  void refusesAtOnceWhileNoEndpointCanBeReachedFromHere() {
+    Dispatcher dispatcher = dispatcher(MODEL, sixEndpoints());
+    loseEndpoints(dispatcher, 4);
+    assertThat(dispatcher.isCutOff()).isTrue();
+    refused.clear();
+    dispatcher.submit(request("r", 0, 100, 100), millis(100));
+    assertThat(refused).containsExactly("r NO_ENDPOINT");
+    assertThat(retryAfterMillis.get(retryAfterMillis.size() - 1)).isAtMost(100);
+  }
+
+  @Test
+  void oneRequestAtATimeTriesWhetherTheEndpointsAreReachableAgain() {
+    Dispatcher dispatcher = dispatcher(MODEL, sixEndpoints());
+    loseEndpoints(dispatcher, 4);
+    refused.clear();
+    placed.clear();
+    for (int i = 0; i < 10; i++) {
+      dispatcher.submit(request("r" + i, 0, 100, 400), millis(400));
+      dispatcher.dispatch(millis(400));
+    }
+    assertThat(placed).hasSize(1);
+    assertThat(refused).hasSize(9);
+    dispatcher.onSent(placed.get(0), millis(410));
+    assertThat(dispatcher.isCutOff()).isFalse();
+    dispatcher.submit(request("after", 0, 100, 420), millis(420));
+    dispatcher.dispatch(millis(420));
+    assertThat(placed).hasSize(2);
+  }
+
+  @Test
+  void endpointsThatFailBetweenOthersThatAnswerDoNotLookLikeACut() {
+    Dispatcher dispatcher = dispatcher(MODEL, sixEndpoints());
+    for (int i = 0; i < 3; i++) {
+      loseEndpoints(dispatcher, 3);
+      dispatcher.onEnded(
+          new Placement(request("ok", 0, 100, 0), sixEndpoints()[5], 500),
+          false,
+          AttemptOutcome.COMPLETED,
+          millis(5));
+    }
+    assertThat(dispatcher.isCutOff()).isFalse();
+  }
+
+  /** A request that may have run waits for an answer here; no other instance may run it. */
+  @Test
+  void keepsRequestsThatHaveBeenSentWhileTheEndpointsAreOutOfReach() {
+    Dispatcher dispatcher = dispatcher(MODEL, sixEndpoints());
+    loseEndpoints(dispatcher, 4);
+    refused.clear();
+    WaitingRequest sent = request("sent", 0, 100, 100);
+    sent.markSent();
+    dispatcher.submit(sent, millis(100));
+    assertThat(refused).isEmpty();
+  }
+
+  /** In a large fleet as many questions reach a full endpoint as in a small one. */
+  @Test
+  void asksAFullEndpointLessOftenTheMoreInstancesWait() {
+    int few = questionsInASecond(8);
+    int many = questionsInASecond(80);
+    assertThat(many).isAtMost(few / 4);
+    assertThat(10 * many).isAtLeast(few);
+  }
+
+  private int questionsInASecond(int instances) {
+    Dispatcher dispatcher = dispatcher(MODEL, sixEndpoints());
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < instances; i++) {
+      ids.add("i" + i);
+    }
+    dispatcher.setInstances(ids);
+    placed.clear();
+    dispatcher.submit(request("waits", 0, 100, 0), 0);
+    int questions = 0;
+    for (long now = 0; now < 1_000; now++) {
+      dispatcher.dispatch(millis(now));
+      for (Placement placement : List.copyOf(placed)) {
+        questions++;
+        dispatcher.onEnded(placement, true, AttemptOutcome.FULL, millis(now));
+        dispatcher.submit(placement.request(), millis(now));
+      }
+      placed.clear();
+    }
+    return questions;
+  }
+
+  private static Endpoint[] sixEndpoints() {
+    Endpoint[] endpoints = new Endpoint[6];
+    for (int i = 0; i < endpoints.length; i++) {
+      endpoints[i] = endpoint("e" + i, 4, 0);
+    }
+    return endpoints;
+  }
+
+  private void loseEndpoints(Dispatcher dispatcher, int count) {
+    for (int i = 0; i < count; i++) {
+      dispatcher.onEnded(
+          new Placement(request("lost" + i, 0, 100, 0), sixEndpoints()[i], 500),
+          true,
+          AttemptOutcome.UNREACHABLE,
+          millis(1));
+    }
+  }
+
   /** Lets one reservation at an endpoint fail for lack of a slot. */
   private void refuseOnce(Dispatcher dispatcher, Endpoint full, Endpoint... others) {
     WaitingRequest request = request("probe", 0, 100, 0);
