--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -13,9 +13,12 @@
 import org.buckthornferry.fleet.FleetView;
 import org.buckthornferry.fleet.OperatingBounds;
 import org.buckthornferry.util.Scheduler;
+import org.jboss.logging.Logger;
 
 /** Runs the dispatcher of one service whenever something has changed or is due. */
 final class ServiceQueue {
+  private static final Logger LOG = Logger.getLogger(ServiceQueue.class);
+
   /** A timer fires late by about this much at most, so an earlier one would find nothing due. */
   private static final long TIMER_MILLIS = 1;
 
@@ -25,6 +28,7 @@
   private final RetryBudget retries;
   private Scheduler.Task wakeUp = Scheduler.Task.NONE;
   private long wakeUpNanos = Dispatcher.NEVER;
+  private boolean wasCutOff;
   private boolean isDispatching;
   private boolean isDirty;
 
@@ -135,9 +139,22 @@
     } finally {
       isDispatching = false;
     }
+    logReachability();
     wakeUpAt(nextNanos);
   }
 
+  private void logReachability() {
+    if (dispatcher.isCutOff() == wasCutOff) {
+      return;
+    }
+    wasCutOff = !wasCutOff;
+    if (wasCutOff) {
+      LOG.warnf("endpoints.unreachable service=%s waiting=%d", serviceName, waiting());
+    } else {
+      LOG.infof("endpoints.reachable service=%s", serviceName);
+    }
+  }
+
   private void wakeUpAt(long nextNanos) {
     if (nextNanos == wakeUpNanos) {
       return;
