Log the content of failed attempts and the repeats of the last seconds

The attempts of a caller at the same request have different ids, so that logs could not tell a request that ends one endpoint after the other from many requests that are repeated once. attempt.failed carries a hash of what was asked and by whom, relay.load counts repeats.

--- a/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.buckthornferry.dispatch.SharedPrompt;
+import org.buckthornferry.request.ContentHash;
 
 /**
  * A request as a caller sent it.
@@ -42,4 +43,12 @@
     int query = uri.indexOf('?');
     return query < 0 ? uri : uri.substring(0, query);
   }
+
+  /**
+   * Returns a hash of what is asked and by whom; all attempts of a caller at the same request have
+   * the same, whatever their ids.
+   */
+  ContentHash content(String customerName) {
+    return ContentHash.of(customerName + " " + method + " " + host + uri, body);
+  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/LoadLog.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/LoadLog.java
@@ -8,10 +8,15 @@
   private static final Logger LOG = Logger.getLogger(LoadLog.class);
 
   private final RelayMetrics metrics;
-  private Totals last = new Totals(0, 0, 0, 0, 0);
+  private Totals last = new Totals(0, 0, 0, 0, 0, 0);
 
   private record Totals(
-      long admitted, long sent, long reservationsRefused, long placed, long placedWithKnownSpeed) {}
+      long admitted,
+      long sent,
+      long repeated,
+      long reservationsRefused,
+      long placed,
+      long placedWithKnownSpeed) {}
 
   LoadLog(RelayMetrics metrics) {
     this.metrics = metrics;
@@ -24,6 +29,7 @@
         new Totals(
             metrics.admitted.getCount(),
             metrics.sent.getCount(),
+            metrics.repeated.getCount(),
             metrics.reservationsRefused.getCount(),
             queues.stream().mapToLong(ServiceQueue::placed).sum(),
             queues.stream().mapToLong(ServiceQueue::placedWithKnownSpeed).sum());
@@ -31,10 +37,11 @@
       return;
     }
     LOG.infof(
-        "relay.load admitted=%d sent=%d reservationsRefused=%d placed=%d placedWithKnownSpeed=%d"
+        "relay.load admitted=%d sent=%d repeated=%d reservationsRefused=%d placed=%d placedWithKnownSpeed=%d"
             + " waiting=%d inProgress=%d",
         now.admitted - last.admitted,
         now.sent - last.sent,
+        now.repeated - last.repeated,
         now.reservationsRefused - last.reservationsRefused,
         now.placed - last.placed,
         now.placedWithKnownSpeed - last.placedWithKnownSpeed,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -334,7 +334,7 @@
     mayHaveRun |= !wasNotRun;
     LOG.infof(
         "attempt.failed id=%s endpoint=%s kind=%s notRun=%s detail=\"%s\" repeats=%s events=%d"
-            + " elapsedMillis=%d",
+            + " elapsedMillis=%d content=%s",
         request.requestId(),
         failed.placement.endpoint().id(),
         kind,
@@ -342,7 +342,8 @@
         detail,
         mayRepeat,
         failed.events,
-        elapsedMillis());
+        elapsedMillis(),
+        contentHash());
     if (mayRepeat) {
       environment.metrics().repeated.inc();
       if (headForwarded) {
@@ -446,6 +447,11 @@
     }
   }
 
+  /** Returns the hash by which attempts at the same request are known. */
+  private String contentHash() {
+    return request.content(customer.map(Customer::name).orElse("")).hex();
+  }
+
   private long leftMillis() {
     return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - environment.clock().nanoTime());
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/request/ContentHash.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/request/ContentHash.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /**
  * The first 128 bits of the SHA-256 hash of a request's route and body. Detects the reuse of a key
@@ -22,6 +23,11 @@
     return new ContentHash(hash.getLong(), hash.getLong());
   }
 
+  /** Returns 32 hexadecimal digits. */
+  public String hex() {
+    return HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low);
+  }
+
   private static MessageDigest sha256() {
     try {
       return MessageDigest.getInstance("SHA-256");
