Refuse a request under which three endpoints have ended

Callers saw: a request that ends its endpoint was sent to a further one with each attempt, at any instance, and took down what else ran there.

Cause: attempts were judged one by one; nothing was remembered between attempts of a caller or between instances.

Fix: instances know content by a hash of customer, host, path and body. A first crash costs one message to the content's owner, because most contents at an endpoint that ends are sound; from the second on the store holds the processes, which every instance follows and which outlives all of them. An answer clears a content. ContentQuarantineTest plays owners that are killed, suspended and cut off at each crash; it found that an instance has to complete an entry of the store when it knows of a further crash, and to forget its own when the entry is removed.

AgedTable is shared with the own interface's quarantine.

--- a/buckthornferry/src/main/java/org/buckthornferry/endpoint/Quarantine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/endpoint/Quarantine.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,6 +17,7 @@
 import org.buckthornferry.peer.PeerSender;
 import org.buckthornferry.peer.QuarantineNotice;
 import org.buckthornferry.peer.QuarantineNotice.Kind;
+import org.buckthornferry.util.AgedTable;
 import org.buckthornferry.util.Checks;
 import org.jboss.logging.Logger;
 
@@ -38,14 +38,13 @@
   private final Blackboard blackboard;
   private final PeerSender sender;
   private final NoticeOutbox outbox;
-  private final LinkedHashMap<String, Entry> hashes = new LinkedHashMap<>();
+  private final AgedTable<Verdict> hashes = new AgedTable<>(MAX_HASHES);
   private final Map<String, Map<String, String>> running = new HashMap<>();
   private final Map<String, Isolation> isolations = new TreeMap<>();
   private final Map<String, Reserved> reservedByPeers = new HashMap<>();
   private Set<String> knownPeers = Set.of();
   private long lastSession;
-
-  private record Entry(Verdict verdict, long untilNanos) {}
+  private long lastTickNanos;
 
   private record Reserved(String instanceId, long session, long untilNanos) {}
 
@@ -66,8 +65,7 @@
 
   /** Returns what is known about a content hash. */
   public Verdict verdict(String contentHash, long nowNanos) {
-    Entry entry = hashes.get(contentHash);
-    return entry == null || entry.untilNanos - nowNanos <= 0 ? Verdict.CLEAR : entry.verdict;
+    return hashes.get(contentHash, nowNanos).orElse(Verdict.CLEAR);
   }
 
   /** Handles the start of a request of this instance. */
@@ -212,6 +210,7 @@
 
   @Override
   public void onTick(long nowNanos) {
+    lastTickNanos = nowNanos;
     outbox.onTick(nowNanos);
     renewIsolations(nowNanos);
     reservedByPeers.values().removeIf(reserved -> reserved.untilNanos - nowNanos <= 0);
@@ -221,7 +220,7 @@
   @Override
   public Map<String, Object> dump() {
     Map<String, Object> dump = new TreeMap<>();
-    hashes.forEach((hash, entry) -> dump.put(hash, entry.verdict.name()));
+    hashes.forEach(lastTickNanos, (hash, verdict) -> dump.put(hash, verdict.name()));
     return Map.of("quarantine", dump);
   }
 
@@ -300,30 +299,25 @@
     }
     for (String peer : peers) {
       if (!knownPeers.contains(peer)) {
-        hashes.forEach((hash, entry) -> tell(peer, hash, entry, nowNanos));
+        hashes.forEach(nowNanos, (hash, verdict) -> tell(peer, hash, verdict, nowNanos));
       }
     }
     knownPeers = peers;
   }
 
-  private void tell(String peer, String hash, Entry entry, long nowNanos) {
-    long restMillis = TimeUnit.NANOSECONDS.toMillis(entry.untilNanos - nowNanos);
+  private void tell(String peer, String hash, Verdict verdict, long nowNanos) {
+    long restMillis = TimeUnit.NANOSECONDS.toMillis(hashes.remainingNanos(hash, nowNanos));
     if (restMillis > 0) {
-      Kind kind = entry.verdict == Verdict.QUARANTINED ? Kind.QUARANTINED : Kind.SUSPECT;
+      Kind kind = verdict == Verdict.QUARANTINED ? Kind.QUARANTINED : Kind.SUSPECT;
       sender.send(peer, new QuarantineNotice(kind, hash, "", restMillis, 0, 0));
     }
   }
 
   private void put(String contentHash, Verdict verdict, long forNanos, long nowNanos) {
-    Entry known = hashes.get(contentHash);
-    if (known != null && known.verdict == Verdict.QUARANTINED && verdict == Verdict.SUSPECT) {
+    if (verdict(contentHash, nowNanos) == Verdict.QUARANTINED && verdict == Verdict.SUSPECT) {
       return;
     }
-    hashes.remove(contentHash);
-    hashes.put(contentHash, new Entry(verdict, nowNanos + forNanos));
-    if (hashes.size() > MAX_HASHES) {
-      hashes.remove(hashes.keySet().iterator().next());
-    }
+    hashes.put(contentHash, verdict, nowNanos + forNanos);
   }
 
   private void broadcast(Kind kind, String contentHash, long validMillis, long nowNanos) {
--- a/buckthornferry/src/main/java/org/buckthornferry/endpoint/Verdict.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/endpoint/Verdict.java
@@ -4,8 +4,8 @@
 public enum Verdict {
   /** Nothing is held against the content. */
   CLEAR,
-  /** The content ran on an endpoint that crashed; it may run only alone. */
+  /** The content ran on an endpoint that crashed, as others did that are sound. */
   SUSPECT,
-  /** The content crashed an endpoint on which it ran alone; it is refused. */
+  /** The content crashes endpoints; it is refused. */
   QUARANTINED
 }
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentQuarantine.java
@@ -0,0 +1,345 @@
+package org.buckthornferry.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.endpoint.Verdict;
+import org.buckthornferry.store.SharedStore;
+import org.buckthornferry.store.StoreChange;
+import org.buckthornferry.store.StoreException;
+import org.buckthornferry.store.StoreException.Kind;
+import org.buckthornferry.store.StoreItem;
+import org.buckthornferry.util.AgedTable;
+import org.buckthornferry.util.Completions;
+import org.buckthornferry.util.MonotonicClock;
+import org.buckthornferry.util.Rendezvous;
+import org.buckthornferry.util.Scheduler;
+import org.jboss.logging.Logger;
+
+/**
+ * Remembers under which contents endpoints have ended, over all attempts of callers and all
+ * instances. Content under which three processes have ended is quarantined; an answer to it clears
+ * it, because content that ends every endpoint is never answered.
+ *
+ * <p>Most contents that were at an endpoint when it ended are sound and end no second one. So a
+ * first crash is told only to the content's owner, an instance chosen by its hash. Whoever knows of
+ * two writes them to the store, which every instance follows and which outlives all of them.
+ */
+public final class ContentQuarantine implements StoreView.Section {
+  private static final Logger LOG = Logger.getLogger(ContentQuarantine.class);
+
+  static final String PREFIX = "buckthornferry/crashes/";
+
+  /** Processes that have to end under a content until it is no chance that it was there. */
+  static final int QUARANTINE_CRASHES = 3;
+
+  private static final int SUSPECT_CRASHES = 2;
+
+  /** How long crashes are remembered, in milliseconds; the longest time to live of a lease. */
+  static final long VALID_MILLIS = 600_000;
+
+  /** A lease is used for new entries up to this age, so that they last at least as long again. */
+  private static final long LEASE_REUSE_MILLIS = VALID_MILLIS / 2;
+
+  /** The most contents that are remembered; about 200 bytes each. */
+  private static final int MAX_CONTENTS = 2_000;
+
+  /** How long the owner may take to reply, in milliseconds. */
+  private static final long ASK_TIMEOUT_MILLIS = 300;
+
+  /**
+   * The first pause before the store is tried again, in milliseconds; doubles up to the longest.
+   */
+  private static final long FIRST_RETRY_MILLIS = 300;
+
+  private static final long MAX_RETRY_MILLIS = 5_000;
+
+  private final SharedStore store;
+  private final StoreView view;
+  private final Blackboard blackboard;
+  private final PeerCaller peers;
+  private final String selfId;
+  private final Scheduler scheduler;
+  private final MonotonicClock clock;
+  private final AgedTable<Set<String>> heard = new AgedTable<>(MAX_CONTENTS);
+  private final Map<String, Stored> stored = new HashMap<>();
+  private final Set<String> listed = new HashSet<>();
+  private final Set<String> writing = new HashSet<>();
+  private Map<String, InetSocketAddress> owners = Map.of();
+  private OptionalLong leaseId = OptionalLong.empty();
+  private long leaseGrantedNanos;
+
+  private record Stored(long revision, Set<String> crashes) {}
+
+  /** Creates a quarantine that knows of no crash. */
+  public ContentQuarantine(
+      SharedStore store,
+      StoreView view,
+      Blackboard blackboard,
+      PeerCaller peers,
+      String selfId,
+      Scheduler scheduler,
+      MonotonicClock clock) {
+    this.store = store;
+    this.view = view;
+    this.blackboard = blackboard;
+    this.peers = peers;
+    this.selfId = selfId;
+    this.scheduler = scheduler;
+    this.clock = clock;
+    view.add(this);
+  }
+
+  /** Returns whether nothing is held against any content, so that none has to be looked up. */
+  public boolean isEmpty() {
+    return stored.isEmpty() && heard.isEmptyAt(clock.nanoTime());
+  }
+
+  /** Returns what is held against a content. */
+  public Verdict verdict(String contentHash) {
+    int crashes = crashes(contentHash).size();
+    if (crashes >= QUARANTINE_CRASHES) {
+      return Verdict.QUARANTINED;
+    }
+    return crashes == 0 ? Verdict.CLEAR : Verdict.SUSPECT;
+  }
+
+  /** Returns for how long a quarantined content is refused at most, in milliseconds. */
+  public long remainingMillis(String contentHash) {
+    long heardMillis =
+        TimeUnit.NANOSECONDS.toMillis(heard.remainingNanos(contentHash, clock.nanoTime()));
+    return heardMillis > 0 ? heardMillis : VALID_MILLIS;
+  }
+
+  /** An endpoint has ended, or broken its connection, while it had a request of this content. */
+  public void onCrash(String contentHash, Endpoint endpoint) {
+    learn(contentHash, Set.of(endpoint.id() + "@" + endpoint.startedEpochMillis()));
+    LOG.infof(
+        "content.crash hash=%s endpoint=%s crashes=%s verdict=%s",
+        contentHash, endpoint.id(), crashes(contentHash), verdict(contentHash));
+    if (crashes(contentHash).size() < SUSPECT_CRASHES) {
+      tellOwner(contentHash);
+    }
+    writeIfSuspect(contentHash);
+  }
+
+  /** A request of this content was answered in full. */
+  public void onServed(String contentHash) {
+    Set<String> crashes = crashes(contentHash);
+    if (crashes.isEmpty()) {
+      return;
+    }
+    LOG.infof("content.cleared hash=%s crashes=%s", contentHash, crashes);
+    heard.remove(contentHash);
+    if (stored.remove(contentHash) != null) {
+      remove(contentHash);
+    }
+    tellOwner(contentHash);
+  }
+
+  /** Takes over instances; the crashes of contents that have a new owner are told to it. */
+  public void refresh() {
+    Map<String, InetSocketAddress> listed = blackboard.read(FleetView.ENTRY).listed();
+    if (listed.keySet().equals(owners.keySet())) {
+      owners = listed;
+      return;
+    }
+    Map<String, InetSocketAddress> before = owners;
+    owners = listed;
+    heard.forEach(
+        clock.nanoTime(),
+        (hash, crashes) -> {
+          boolean hasMoved =
+              !Rendezvous.first(hash, before.keySet())
+                  .equals(Rendezvous.first(hash, owners.keySet()));
+          if (hasMoved && crashes.size() < SUSPECT_CRASHES) {
+            tellOwner(hash);
+          }
+        });
+  }
+
+  /** Answers another instance that takes this one for the owner of a content. */
+  public byte[] answer(byte[] message) throws IOException {
+    ContentMessages.Crashes told = ContentMessages.decode(message);
+    if (told.processes().isEmpty()) {
+      heard.remove(told.contentHash());
+    } else {
+      learn(told.contentHash(), told.processes());
+      writeIfSuspect(told.contentHash());
+    }
+    return ContentMessages.encode(
+        new ContentMessages.Crashes(told.contentHash(), crashes(told.contentHash())));
+  }
+
+  @Override
+  public String prefix() {
+    return PREFIX;
+  }
+
+  @Override
+  public void onChanged() {
+    Set<String> before = Set.copyOf(listed);
+    listed.clear();
+    stored.clear();
+    for (StoreItem item : view.items(PREFIX)) {
+      String hash = item.key().substring(PREFIX.length());
+      listed.add(hash);
+      try {
+        Set<String> crashes = ContentMessages.decode(item.value()).processes();
+        stored.put(hash, new Stored(item.revision(), crashes));
+        if (!before.contains(hash)) {
+          LOG.infof("content.listed hash=%s crashes=%s", hash, crashes);
+        }
+      } catch (IOException e) {
+        LOG.warnf("content.unreadable key=%s reason=%s", item.key(), e.getMessage());
+      }
+    }
+    // An entry that is removed was cleared by an answer, or its time is over.
+    before.stream().filter(hash -> !listed.contains(hash)).forEach(heard::remove);
+    // This instance may know of a crash that whoever wrote the entry did not.
+    Set.copyOf(stored.keySet()).forEach(this::writeIfSuspect);
+  }
+
+  private Set<String> crashes(String contentHash) {
+    Set<String> known = heard.get(contentHash, clock.nanoTime()).orElse(Set.of());
+    Stored entry = stored.get(contentHash);
+    if (entry == null) {
+      return known;
+    }
+    Set<String> all = new TreeSet<>(known);
+    all.addAll(entry.crashes);
+    return all;
+  }
+
+  private void learn(String contentHash, Set<String> processes) {
+    Verdict before = verdict(contentHash);
+    Set<String> all = new TreeSet<>(crashes(contentHash));
+    for (String process : processes) {
+      if (all.size() < QUARANTINE_CRASHES) {
+        all.add(process);
+      }
+    }
+    long untilNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(VALID_MILLIS);
+    heard.put(contentHash, Set.copyOf(all), untilNanos);
+    if (before != Verdict.QUARANTINED && verdict(contentHash) == Verdict.QUARANTINED) {
+      LOG.warnf("content.quarantined hash=%s crashes=%s", contentHash, all);
+    }
+  }
+
+  /** Tells the owner what is known about a content; nothing when it was cleared. */
+  private void tellOwner(String contentHash) {
+    String ownerId = Rendezvous.first(contentHash, owners.keySet()).orElse(selfId);
+    if (ownerId.equals(selfId)) {
+      return;
+    }
+    Set<String> known = heard.get(contentHash, clock.nanoTime()).orElse(Set.of());
+    byte[] message =
+        ContentMessages.encode(new ContentMessages.Crashes(contentHash, Set.copyOf(known)));
+    Completions.onComplete(
+        peers.call(owners.get(ownerId), PeerMessageKind.CRASHES, message, ASK_TIMEOUT_MILLIS),
+        (reply, failure) -> onReply(contentHash, ownerId, reply, failure));
+  }
+
+  private void onReply(String contentHash, String ownerId, byte[] reply, Throwable failure) {
+    boolean isStillHeld = heard.get(contentHash, clock.nanoTime()).isPresent();
+    if (failure != null) {
+      LOG.infof("content.owner_silent hash=%s owner=%s reason=%s", contentHash, ownerId, failure);
+      if (isStillHeld) {
+        write(contentHash, FIRST_RETRY_MILLIS);
+      }
+      return;
+    }
+    try {
+      Set<String> known = ContentMessages.decode(reply).processes();
+      if (isStillHeld && !known.isEmpty()) {
+        learn(contentHash, known);
+        // The owner writes them too, unless the store is out of its reach.
+        scheduler.schedule(() -> writeIfSuspect(contentHash), FIRST_RETRY_MILLIS);
+      }
+    } catch (IOException e) {
+      LOG.warnf("content.unreadable owner=%s reason=%s", ownerId, e.getMessage());
+    }
+  }
+
+  private void writeIfSuspect(String contentHash) {
+    if (crashes(contentHash).size() >= SUSPECT_CRASHES) {
+      write(contentHash, FIRST_RETRY_MILLIS);
+    }
+  }
+
+  /** Writes the crashes of a content to the store until they are there or are cleared. */
+  private void write(String contentHash, long retryMillis) {
+    Set<String> crashes = crashes(contentHash);
+    Stored known = stored.get(contentHash);
+    boolean isWritten = known != null && known.crashes.containsAll(crashes);
+    if (crashes.isEmpty() || isWritten || !writing.add(contentHash)) {
+      return;
+    }
+    CompletableFuture<Long> written =
+        lease()
+            .thenCompose(
+                lease ->
+                    store.apply(
+                        StoreChange.put(
+                                PREFIX + contentHash,
+                                ContentMessages.encode(
+                                    new ContentMessages.Crashes(contentHash, crashes)),
+                                OptionalLong.of(lease))
+                            .onlyIf(PREFIX + contentHash, known == null ? 0 : known.revision)));
+    Completions.onComplete(
+        written,
+        (revision, failure) -> {
+          writing.remove(contentHash);
+          if (failure == null) {
+            stored.put(contentHash, new Stored(revision, crashes));
+            write(contentHash, FIRST_RETRY_MILLIS);
+            return;
+          }
+          if (StoreException.kindOf(failure) == Kind.LEASE_EXPIRED) {
+            leaseId = OptionalLong.empty();
+          }
+          LOG.infof(
+              "content.write_failed hash=%s reason=\"%s\" retryMillis=%d",
+              contentHash, failure.getMessage(), retryMillis);
+          scheduler.schedule(
+              () -> write(contentHash, Math.min(MAX_RETRY_MILLIS, 2 * retryMillis)), retryMillis);
+        });
+  }
+
+  private void remove(String contentHash) {
+    Completions.onComplete(
+        store.apply(StoreChange.removal(PREFIX + contentHash)),
+        (revision, failure) -> {
+          if (failure != null) {
+            // The next answer to this content clears it again.
+            LOG.infof(
+                "content.write_failed hash=%s reason=\"%s\" retryMillis=0",
+                contentHash, failure.getMessage());
+          }
+        });
+  }
+
+  private CompletableFuture<Long> lease() {
+    long ageNanos = clock.nanoTime() - leaseGrantedNanos;
+    if (leaseId.isPresent() && TimeUnit.NANOSECONDS.toMillis(ageNanos) < LEASE_REUSE_MILLIS) {
+      return CompletableFuture.completedFuture(leaseId.getAsLong());
+    }
+    return store
+        .grantLease(VALID_MILLIS)
+        .thenApply(
+            granted -> {
+              leaseId = OptionalLong.of(granted);
+              leaseGrantedNanos = clock.nanoTime();
+              return granted;
+            });
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -9,7 +9,9 @@
   /** A part of a customer's allowance. */
   ALLOWANCE(2),
   /** Changes in the store, for an instance that does not read it itself; replies are held. */
-  CHANGES(3);
+  CHANGES(3),
+  /** Processes of endpoints that have ended under a content. */
+  CRASHES(4);
 
   private final byte code;
 
--- a/buckthornferry/src/main/java/org/buckthornferry/http/ProblemDocument.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ProblemDocument.java
@@ -14,11 +14,16 @@
 public record ProblemDocument(int status, Map<String, String> headers, byte[] body) {
   /** Returns the document for a failed request. */
   public static ProblemDocument of(RequestException failure) {
+    return of(failure, failure.kind().httpStatus());
+  }
+
+  /** Returns the document for a failed request with a status of the interface that it is for. */
+  public static ProblemDocument of(RequestException failure, int httpStatus) {
     ErrorKind kind = failure.kind();
     ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("type", "urn:buckthornferry:error:" + kind.name());
     node.put("title", kind.title());
-    node.put("status", kind.httpStatus());
+    node.put("status", httpStatus);
     node.put("detail", failure.getMessage());
     node.put("errorKind", kind.name());
     node.put("notRun", kind.notRun());
@@ -31,7 +36,7 @@
       headers.put("Retry-After", Long.toString(wholeSeconds(failure.retryAfterMillis())));
     }
     return new ProblemDocument(
-        kind.httpStatus(), headers, node.toString().getBytes(StandardCharsets.UTF_8));
+        httpStatus, headers, node.toString().getBytes(StandardCharsets.UTF_8));
   }
 
   /** Returns the document with one more header. */
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -26,6 +26,7 @@
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
 import org.buckthornferry.fleet.ChangeFeed;
+import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.fleet.DeploymentController;
 import org.buckthornferry.fleet.DeploymentSource;
 import org.buckthornferry.fleet.FleetView;
@@ -111,10 +112,32 @@
     this.peers = new PeerCalls(settings.peerAddress(), eventLoops, scheduler);
     SharedAllowances allowances =
         new SharedAllowances(blackboard, peers, settings.instanceId(), MonotonicClock.SYSTEM);
+    MonotonicClock viewClock =
+        new SuspensionCountingClock(MonotonicClock.SYSTEM, System::currentTimeMillis);
+    ReaderWatch changes =
+        new ReaderWatch(
+            sharedStore,
+            blackboard,
+            peers,
+            settings.instanceId(),
+            settings.failureDomain(),
+            viewClock);
+    this.view = new StoreView(sharedStore, changes, scheduler, viewClock, random);
+    ContentQuarantine quarantine =
+        new ContentQuarantine(
+            sharedStore,
+            view,
+            blackboard,
+            peers,
+            settings.instanceId(),
+            scheduler,
+            MonotonicClock.SYSTEM);
+    peers.respondTo(PeerMessageKind.CRASHES, quarantine::answer);
     this.relay =
         new Relay(
             blackboard,
             allowances,
+            quarantine,
             connector,
             callers,
             endpoints,
@@ -124,17 +147,6 @@
             settings.instanceId(),
             settings.failureDomain(),
             random);
-    MonotonicClock viewClock =
-        new SuspensionCountingClock(MonotonicClock.SYSTEM, System::currentTimeMillis);
-    ReaderWatch changes =
-        new ReaderWatch(
-            sharedStore,
-            blackboard,
-            peers,
-            settings.instanceId(),
-            settings.failureDomain(),
-            viewClock);
-    this.view = new StoreView(sharedStore, changes, scheduler, viewClock, random);
     ChangeFeed feed = new ChangeFeed(view, scheduler, viewClock);
     peers.respondLater(PeerMessageKind.CHANGES, feed::answer);
     this.deployment =
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.buckthornferry.catalog.Customer;
 import org.buckthornferry.dispatch.SharedPrompt;
 import org.buckthornferry.request.ContentHash;
 
@@ -45,10 +46,11 @@
   }
 
   /**
-   * Returns a hash of what is asked and by whom; all attempts of a caller at the same request have
-   * the same, whatever their ids.
+   * Returns a hash of what is asked and by whom, in hexadecimal digits. All attempts of a caller at
+   * the same request have the same, whatever their ids.
    */
-  ContentHash content(String customerName) {
-    return ContentHash.of(customerName + " " + method + " " + host + uri, body);
+  String contentHash(Optional<Customer> customer) {
+    String asker = customer.map(Customer::name).orElse("");
+    return ContentHash.of(asker + " " + method + " " + host + uri, body).hex();
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -17,8 +17,10 @@
 import org.buckthornferry.catalog.Route;
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.endpoint.Verdict;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
+import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.fleet.EndpointList;
 import org.buckthornferry.fleet.FleetView;
 import org.buckthornferry.fleet.SharedAllowances;
@@ -83,6 +85,7 @@
   public Relay(
       Blackboard blackboard,
       SharedAllowances allowances,
+      ContentQuarantine quarantine,
       HttpConnector connector,
       CallerProtocol callers,
       EndpointProtocol endpoints,
@@ -96,6 +99,7 @@
         new RelayEnvironment(
             blackboard,
             connector,
+            quarantine,
             callers,
             endpoints,
             scheduler,
@@ -139,6 +143,7 @@
     }
     longestBudgets.keySet().retainAll(catalog.routeNames());
     allowances.refresh();
+    environment.quarantine().refresh();
   }
 
   /** Refuses all further requests, which have not run; those in progress go on. */
@@ -188,6 +193,7 @@
                     new RequestException(
                         ErrorKind.UNKNOWN_ROUTE, "no route in version " + catalog.version()));
     Optional<Customer> customer = customer(catalog, route, request);
+    refuseQuarantined(request, customer);
     String serviceName = route.chooseService(random.nextDouble());
     ServiceQueue queue = queues.get(serviceName);
     if (queue == null) {
@@ -203,6 +209,18 @@
     takeAllowance(arrival, customer.get());
   }
 
+  private void refuseQuarantined(CallerRequest request, Optional<Customer> customer) {
+    ContentQuarantine quarantine = environment.quarantine();
+    if (quarantine.isEmpty()) {
+      return;
+    }
+    String hash = request.contentHash(customer);
+    if (quarantine.verdict(hash) == Verdict.QUARANTINED) {
+      throw new RequestException(
+          ErrorKind.QUARANTINED, "content " + hash, quarantine.remainingMillis(hash));
+    }
+  }
+
   /** A request that has passed the checks of configuration and key. */
   private record Arrival(
       HttpExchange exchange,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.relay;
 
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
@@ -9,6 +10,7 @@
 record RelayEnvironment(
     Blackboard blackboard,
     HttpConnector connector,
+    ContentQuarantine quarantine,
     CallerProtocol callers,
     EndpointProtocol endpoints,
     Scheduler scheduler,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -13,8 +13,10 @@
 import org.buckthornferry.dispatch.Rank;
 import org.buckthornferry.dispatch.RequestSize;
 import org.buckthornferry.dispatch.WaitingRequest;
+import org.buckthornferry.endpoint.Verdict;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
+import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.http.HttpCall;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
@@ -286,6 +288,15 @@
       queue.onEnded(placement, placement.reservesFirst(), AttemptOutcome.ABANDONED);
       return;
     }
+    if (isQuarantined()) {
+      reservationId.ifPresent(id -> release(placement, id));
+      queue.onEnded(placement, placement.reservesFirst(), AttemptOutcome.ABANDONED);
+      onRefused(
+          ErrorKind.QUARANTINED,
+          "content " + request.contentHash(customer),
+          environment.quarantine().remainingMillis(request.contentHash(customer)));
+      return;
+    }
     phase = headForwarded ? Phase.ANSWERING : Phase.SENT;
     attempts++;
     queue.onSent(placement);
@@ -317,6 +328,12 @@
                     lastEventId)));
   }
 
+  private boolean isQuarantined() {
+    ContentQuarantine quarantine = environment.quarantine();
+    return !quarantine.isEmpty()
+        && quarantine.verdict(request.contentHash(customer)) == Verdict.QUARANTINED;
+  }
+
   /** Sends the request to another endpoint if that is allowed, else answers with the failure. */
   private void repeatOrFail(Attempt failed, boolean wasNotRun, ErrorKind kind, String detail) {
     waiting.exclude(failed.placement.endpoint().id());
@@ -343,7 +360,7 @@
         mayRepeat,
         failed.events,
         elapsedMillis(),
-        contentHash());
+        request.contentHash(customer));
     if (mayRepeat) {
       environment.metrics().repeated.inc();
       if (headForwarded) {
@@ -447,11 +464,6 @@
     }
   }
 
-  /** Returns the hash by which attempts at the same request are known. */
-  private String contentHash() {
-    return request.content(customer.map(Customer::name).orElse("")).hex();
-  }
-
   private long leftMillis() {
     return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - environment.clock().nanoTime());
   }
@@ -672,6 +684,7 @@
       }
       queue.onStreamEnd(placement, events, (lastProgressNanos - firstEventNanos) / 1e6);
       close(AttemptOutcome.COMPLETED);
+      clearContent();
       if (phase != Phase.ENDED) {
         respond(this);
       }
@@ -680,6 +693,9 @@
     private void onWholeAnswer() {
       AnswerVerdict verdict = AnswerVerdict.of(head);
       close(verdict.outcome());
+      if (verdict == AnswerVerdict.SERVED) {
+        clearContent();
+      }
       if (phase == Phase.ENDED) {
         return;
       }
@@ -719,12 +735,21 @@
       }
     }
 
+    private void clearContent() {
+      if (!environment.quarantine().isEmpty()) {
+        environment.quarantine().onServed(request.contentHash(customer));
+      }
+    }
+
     @Override
     public void onFailure(Throwable cause, boolean bytesSent) {
       if (isOver) {
         return;
       }
       close(bytesSent ? AttemptOutcome.BROKEN : AttemptOutcome.UNREACHABLE);
+      if (bytesSent) {
+        environment.quarantine().onCrash(request.contentHash(customer), placement.endpoint());
+      }
       if (phase == Phase.ENDED) {
         return;
       }
--- a/buckthornferry/src/main/java/org/buckthornferry/store/StoreChange.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreChange.java
@@ -28,6 +28,11 @@
     return new StoreChange(List.of(), List.of(new Write(key, value, leaseId)), List.of());
   }
 
+  /** Returns a change that removes one key without a condition. */
+  public static StoreChange removal(String key) {
+    return new StoreChange(List.of(), List.of(), List.of(key));
+  }
+
   /** Returns this change with the further condition that {@code key} has {@code revision}. */
   public StoreChange onlyIf(String key, long revision) {
     List<Condition> more = new ArrayList<>(conditions);
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/ContentQuarantineTest.java
@@ -0,0 +1,271 @@
+package org.buckthornferry.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.endpoint.Verdict;
+import org.buckthornferry.http.Addresses;
+import org.buckthornferry.testing.FakeSharedStore;
+import org.buckthornferry.testing.ManualScheduler;
+import org.buckthornferry.testing.VirtualInstances;
+import org.buckthornferry.util.Rendezvous;
+import org.junit.jupiter.api.Test;
+
+/** Instances on virtual time that learn which contents end endpoints. */
+final class ContentQuarantineTest {
+  /** The time after the third crash from which the bound counts, in milliseconds. */
+  private static final long BOUND_MILLIS = OperatingBounds.DEFAULTS.contactMillis();
+
+  private static final String CONTENT = "0123456789abcdef";
+
+  private final ManualScheduler time = new ManualScheduler();
+  private final FakeSharedStore store = new FakeSharedStore(time);
+  private final VirtualInstances network = new VirtualInstances(time, store);
+  private final List<Instance> instances = new ArrayList<>();
+
+  @Test
+  void everyInstanceRefusesAContentInTimeAfterTheThirdCrash() {
+    for (int count : new int[] {1, 2, 8, 95}) {
+      ContentQuarantineTest test = new ContentQuarantineTest();
+      test.startAll(count);
+      for (int i = 0; i < 3; i++) {
+        assertThat(test.instances.get(i % count).verdict()).isNotEqualTo(Verdict.QUARANTINED);
+        test.crash(i % count, i);
+        test.time.advance(400);
+      }
+      test.time.advance(BOUND_MILLIS - 400);
+      test.assertAllRefuse();
+    }
+  }
+
+  @Test
+  void crashesAtTheSameMomentAreAllCounted() {
+    startAll(8);
+    for (int i = 0; i < 3; i++) {
+      crash(i, i);
+    }
+    time.advance(BOUND_MILLIS);
+    assertAllRefuse();
+  }
+
+  @Test
+  void theSameProcessCountsOnce() {
+    startAll(8);
+    for (int i = 0; i < 8; i++) {
+      crash(i, 1);
+    }
+    time.advance(BOUND_MILLIS);
+    for (Instance instance : instances) {
+      assertThat(instance.verdict()).isNotEqualTo(Verdict.QUARANTINED);
+    }
+  }
+
+  /** Many callers may ask the same; endpoints end under some of them by chance. */
+  @Test
+  void aContentThatIsAnsweredInBetweenIsNeverRefused() {
+    startAll(8);
+    for (int i = 0; i < 30; i++) {
+      crash(i % 8, i);
+      time.advance(200);
+      instances.get((i + 3) % 8).serve();
+      instances.get(i % 8).serve();
+      time.advance(200);
+      assertThat(instances.get(i % 8).verdict()).isNotEqualTo(Verdict.QUARANTINED);
+    }
+  }
+
+  @Test
+  void anAnswerClearsAContentEverywhere() {
+    startAll(8);
+    for (int i = 0; i < 3; i++) {
+      crash(i, i);
+      time.advance(100);
+    }
+    instances.get(7).serve();
+    time.advance(BOUND_MILLIS);
+    for (Instance instance : instances) {
+      assertWithMessage(instance.id).that(instance.verdict()).isNotEqualTo(Verdict.QUARANTINED);
+    }
+  }
+
+  @Test
+  void crashesAreCountedWheneverTheOwnerFails() {
+    for (Failure failure : Failure.values()) {
+      for (int after = 0; after < 3; after++) {
+        ContentQuarantineTest test = new ContentQuarantineTest();
+        test.startAll(8);
+        Instance owner = test.owner();
+        List<Instance> others = test.instances.stream().filter(i -> i != owner).toList();
+        for (int i = 0; i < 3; i++) {
+          if (i == after) {
+            failure.strike(owner);
+          }
+          others.get(i).quarantine.onCrash(CONTENT, endpoint(i));
+          test.time.advance(500);
+        }
+        test.time.advance(BOUND_MILLIS - 500);
+        for (Instance other : others) {
+          assertWithMessage("%s after %s crashes, %s", failure, after, other.id)
+              .that(other.verdict())
+              .isEqualTo(Verdict.QUARANTINED);
+        }
+      }
+    }
+  }
+
+  @Test
+  void aNewOwnerHearsOfCrashesThatOnlyTheOldOneHadCounted() {
+    startAll(8);
+    Instance owner = owner();
+    List<Instance> others = new ArrayList<>(instances);
+    others.remove(owner);
+    others.get(0).quarantine.onCrash(CONTENT, endpoint(0));
+    time.advance(100);
+    owner.process.kill();
+    // The registration lapses.
+    time.advance(12_000);
+    others.get(1).quarantine.onCrash(CONTENT, endpoint(1));
+    time.advance(100);
+    others.get(2).quarantine.onCrash(CONTENT, endpoint(2));
+    time.advance(BOUND_MILLIS);
+    for (Instance other : others) {
+      assertThat(other.verdict()).isEqualTo(Verdict.QUARANTINED);
+    }
+  }
+
+  @Test
+  void instancesThatStartLaterRefuseTheContentAlso() {
+    startAll(8);
+    for (int i = 0; i < 3; i++) {
+      crash(i, i);
+    }
+    time.advance(BOUND_MILLIS);
+    instances.forEach(instance -> instance.process.kill());
+    instances.clear();
+    startAll(8);
+    assertAllRefuse();
+  }
+
+  @Test
+  void aContentIsTriedAgainAfterItsTime() {
+    startAll(4);
+    for (int i = 0; i < 3; i++) {
+      crash(i, i);
+    }
+    time.advance(ContentQuarantine.VALID_MILLIS + BOUND_MILLIS);
+    for (Instance instance : instances) {
+      assertThat(instance.verdict()).isEqualTo(Verdict.CLEAR);
+    }
+  }
+
+  /** Most contents that are at an endpoint when it ends are sound. */
+  @Test
+  void aCrashCostsAMessageForEachContentAndNoCallToTheStore() {
+    for (int count : new int[] {8, 95, 300}) {
+      ContentQuarantineTest test = new ContentQuarantineTest();
+      test.startAll(count);
+      test.time.advance(20_000);
+      int before = test.messages();
+      for (int i = 0; i < 20; i++) {
+        test.instances.get(i % count).quarantine.onCrash("content" + i, endpoint(1));
+      }
+      test.time.advance(1_000);
+      assertThat(test.messages() - before).isAtMost(20);
+      assertThat(test.instances.get(0).view.items(ContentQuarantine.PREFIX)).isEmpty();
+    }
+  }
+
+  private enum Failure {
+    KILLED {
+      @Override
+      void strike(Instance instance) {
+        instance.process.kill();
+      }
+    },
+    SUSPENDED {
+      @Override
+      void strike(Instance instance) {
+        instance.process.suspend();
+      }
+    },
+    CUT_FROM_STORE {
+      @Override
+      void strike(Instance instance) {
+        instance.process.cutFromStore(true);
+      }
+    },
+    CUT_FROM_OTHERS {
+      @Override
+      void strike(Instance instance) {
+        instance.process.cutFromOthers(true);
+      }
+    };
+
+    abstract void strike(Instance instance);
+  }
+
+  private static Endpoint endpoint(int process) {
+    return new Endpoint(
+        "e" + process, "desk", Addresses.parse("127.0.0.1:1"), "z", "v1", 4, false, 0, process, 0);
+  }
+
+  private void crash(int instance, int process) {
+    instances.get(instance).quarantine.onCrash(CONTENT, endpoint(process));
+  }
+
+  private Instance owner() {
+    String id = Rendezvous.first(CONTENT, instances.stream().map(i -> i.id).toList()).orElseThrow();
+    return instances.stream().filter(i -> i.id.equals(id)).findFirst().orElseThrow();
+  }
+
+  private int messages() {
+    return instances.stream().mapToInt(i -> i.calls(PeerMessageKind.CRASHES)).sum();
+  }
+
+  private void startAll(int count) {
+    for (int i = 0; i < count; i++) {
+      Instance instance = new Instance(i);
+      instances.add(instance);
+      instance.start();
+    }
+    time.advance(10_000);
+  }
+
+  private void assertAllRefuse() {
+    for (Instance instance : instances) {
+      assertWithMessage("%s of %s", instance.id, instances.size())
+          .that(instance.verdict())
+          .isEqualTo(Verdict.QUARANTINED);
+    }
+  }
+
+  private final class Instance extends VirtualInstance {
+    private final ContentQuarantine quarantine;
+
+    private Instance(int index) {
+      super(network, index, "domain-" + index % 3);
+      quarantine =
+          new ContentQuarantine(process.store(), view, blackboard, peers, id, process, process);
+      respondTo(PeerMessageKind.CRASHES, quarantine::answer);
+    }
+
+    @Override
+    void onChanged() {
+      quarantine.refresh();
+    }
+
+    private Verdict verdict() {
+      return quarantine.verdict(CONTENT);
+    }
+
+    /** Answers a request, as far as this concerns the quarantine. */
+    private void serve() {
+      if (!quarantine.isEmpty()) {
+        quarantine.onServed(CONTENT);
+      }
+    }
+  }
+}
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/StoreFanOutTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/StoreFanOutTest.java
@@ -4,21 +4,15 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
-import org.buckthornferry.control.Blackboard;
-import org.buckthornferry.http.Addresses;
 import org.buckthornferry.store.StoreException.Kind;
 import org.buckthornferry.store.StoreItem;
 import org.buckthornferry.testing.FakeSharedStore;
 import org.buckthornferry.testing.ManualScheduler;
 import org.buckthornferry.testing.VirtualInstances;
-import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Rendezvous;
-import org.buckthornferry.util.SuspensionCountingClock;
 import org.junit.jupiter.api.Test;
 
 /** Instances of one failure domain on virtual time that hear of changes through one of them. */
@@ -60,8 +54,9 @@
   @Test
   void aSmallFailureDomainReadsTheStoreItself() {
     startAll(3);
-    assertThat(instances.get(0).asked + instances.get(1).asked + instances.get(2).asked)
-        .isEqualTo(0);
+    for (Instance instance : instances) {
+      assertThat(instance.calls(PeerMessageKind.CHANGES)).isEqualTo(0);
+    }
     store.put(KEY, "2");
     time.advance(50);
     assertAllHave("2");
@@ -224,65 +219,21 @@
     }
   }
 
-  private final class Instance {
-    private final String id;
-    private final VirtualInstances.Node process;
-    private final StoreView view;
-    private final ChangeFeed feed;
+  private final class Instance extends VirtualInstance {
     private long highestRevision;
     private boolean wentBack;
-    private int asked;
 
     private Instance(int index) {
-      id = "i" + index;
-      InetSocketAddress address = Addresses.parse("127.0.0.1:" + (10_000 + index));
-      process = network.start(address);
-      Blackboard blackboard = new Blackboard();
-      SplittableRandom random = new SplittableRandom(index);
-      MonotonicClock clock = new SuspensionCountingClock(process, process::timeOfDayMillis);
-      PeerCaller peers =
-          (other, kind, message, timeoutMillis) -> {
-            asked++;
-            return process.call(other, kind.name(), message, timeoutMillis);
-          };
-      view =
-          new StoreView(
-              process.store(),
-              new ReaderWatch(process.store(), blackboard, peers, id, DOMAIN, clock),
-              process,
-              clock,
-              random);
-      feed = new ChangeFeed(view, process, clock);
-      process.respondWith((kind, message) -> answer(message));
-      InstanceRegistry registry =
-          new InstanceRegistry(
-              process.store(),
-              view,
-              id,
-              address,
-              DOMAIN,
-              blackboard,
-              this::onChanged,
-              process,
-              process,
-              random);
-      view.start();
-      registry.start();
+      super(network, index, DOMAIN);
+      start();
     }
 
-    private void onChanged() {
+    @Override
+    void onChanged() {
       wentBack |= view.revision() < highestRevision;
       highestRevision = view.revision();
     }
 
-    private CompletableFuture<byte[]> answer(byte[] message) {
-      try {
-        return feed.answer(message);
-      } catch (IOException e) {
-        return CompletableFuture.failedFuture(e);
-      }
-    }
-
     private ChangeMessages.Reply replyNow(long revision) {
       try {
         byte[] ask = ChangeMessages.encodeAsk(new ChangeMessages.Ask(revision, 0));
--- /dev/null
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/VirtualInstance.java
@@ -0,0 +1,87 @@
+package org.buckthornferry.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.http.Addresses;
+import org.buckthornferry.testing.VirtualInstances;
+import org.buckthornferry.util.MonotonicClock;
+import org.buckthornferry.util.SuspensionCountingClock;
+
+/** An instance on virtual time that registers itself and follows the store. */
+class VirtualInstance {
+  final String id;
+  final VirtualInstances.Node process;
+  final Blackboard blackboard = new Blackboard();
+  final StoreView view;
+  final ChangeFeed feed;
+  final PeerCaller peers;
+  private final InstanceRegistry registry;
+  private final Map<PeerMessageKind, PeerCaller.Responder> responders =
+      new EnumMap<>(PeerMessageKind.class);
+  private final Map<PeerMessageKind, Integer> calls = new EnumMap<>(PeerMessageKind.class);
+
+  VirtualInstance(VirtualInstances network, int index, String domain) {
+    id = "i" + index;
+    InetSocketAddress address = Addresses.parse("127.0.0.1:" + (10_000 + index));
+    process = network.start(address);
+    SplittableRandom random = new SplittableRandom(index);
+    MonotonicClock clock = new SuspensionCountingClock(process, process::timeOfDayMillis);
+    peers =
+        (other, kind, message, timeoutMillis) -> {
+          calls.merge(kind, 1, Integer::sum);
+          return process.call(other, kind.name(), message, timeoutMillis);
+        };
+    view =
+        new StoreView(
+            process.store(),
+            new ReaderWatch(process.store(), blackboard, peers, id, domain, clock),
+            process,
+            clock,
+            random);
+    feed = new ChangeFeed(view, process, clock);
+    process.respondWith((kind, message) -> answer(PeerMessageKind.valueOf(kind), message));
+    registry =
+        new InstanceRegistry(
+            process.store(),
+            view,
+            id,
+            address,
+            domain,
+            blackboard,
+            this::onChanged,
+            process,
+            process,
+            random);
+  }
+
+  void start() {
+    view.start();
+    registry.start();
+  }
+
+  /** The instances or what else is on the blackboard may have changed. */
+  void onChanged() {}
+
+  void respondTo(PeerMessageKind kind, PeerCaller.Responder responder) {
+    responders.put(kind, responder);
+  }
+
+  int calls(PeerMessageKind kind) {
+    return calls.getOrDefault(kind, 0);
+  }
+
+  private CompletableFuture<byte[]> answer(PeerMessageKind kind, byte[] message) {
+    try {
+      return kind.isHeld()
+          ? feed.answer(message)
+          : CompletableFuture.completedFuture(responders.get(kind).answer(message));
+    } catch (IOException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+}
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -169,7 +169,14 @@
     if (failed != null) {
       return failed;
     }
+    for (StoreChange.Condition condition : change.conditions()) {
+      StoreItem item = items.get(condition.key());
+      if ((item == null ? 0 : item.revision()) != condition.revision()) {
+        return CompletableFuture.failedFuture(new StoreException(Kind.CONFLICT, condition.key()));
+      }
+    }
     revision++;
+    change.removals().forEach(key -> change(StoreItem.removal(key, revision)));
     for (StoreChange.Write write : change.writes()) {
       write.leaseId().ifPresent(id -> leaseOfKey.put(write.key(), id));
       change(new StoreItem(write.key(), write.value(), revision));
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/ManualScheduler.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/ManualScheduler.java
@@ -1,24 +1,29 @@
 package org.buckthornferry.testing;
 
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.List;
+import java.util.HashSet;
+import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
 
 /** A scheduler and clock whose time passes only when a test says so. */
 public final class ManualScheduler implements Scheduler, MonotonicClock {
-  private final List<Entry> entries = new ArrayList<>();
+  private final PriorityQueue<Entry> entries =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Entry::dueMillis).thenComparingLong(Entry::sequence));
+  private final Set<Entry> cancelled = new HashSet<>();
   private long nowMillis;
+  private long lastSequence;
 
-  private record Entry(long dueMillis, Runnable task) {}
+  private record Entry(long dueMillis, long sequence, Runnable task) {}
 
   @Override
   public Task schedule(Runnable task, long delayMillis) {
-    Entry entry = new Entry(nowMillis + delayMillis, task);
+    Entry entry = new Entry(nowMillis + delayMillis, ++lastSequence, task);
     entries.add(entry);
-    return () -> entries.remove(entry);
+    return () -> cancelled.add(entry);
   }
 
   @Override
@@ -29,15 +34,13 @@
   /** Lets time pass and runs what becomes due, in order. */
   public void advance(long millis) {
     long endMillis = nowMillis + millis;
-    while (true) {
-      Entry next = entries.stream().min(Comparator.comparingLong(Entry::dueMillis)).orElse(null);
-      if (next == null || next.dueMillis > endMillis) {
-        nowMillis = endMillis;
-        return;
-      }
-      entries.remove(next);
+    while (!entries.isEmpty() && entries.peek().dueMillis <= endMillis) {
+      Entry next = entries.poll();
       nowMillis = Math.max(nowMillis, next.dueMillis);
-      next.task.run();
+      if (!cancelled.remove(next)) {
+        next.task.run();
+      }
     }
+    nowMillis = endMillis;
   }
 }
