Carry out orders to move a service to another version

Cause: orders to move versions were not read on the platform's path; only the own interface could move versions.

Fix: VersionMoves. From the order on, each instance gives the target a bounded part of its own requests, so that the sum keeps the bound without agreement. All tell a leader their counts; it takes the version back when they show a fault, and calls it sound near the end of the order's time. The tests of evidence are those of the own interface (MoveEvidence), now with their own terms.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -88,6 +88,7 @@
   private final String selfId;
   private final String ownDomain;
   private final RandomGenerator random;
+  private final VersionPolicy versions;
   private final Map<String, EndpointLoad> endpoints = new HashMap<>();
   private final WaitingLine line = new WaitingLine();
   private final AnswerLengths lengths = new AnswerLengths();
@@ -102,6 +103,17 @@
 
   /** Creates a dispatcher without endpoints. */
   public Dispatcher(Service service, String selfId, String ownDomain, RandomGenerator random) {
+    this(service, selfId, ownDomain, random, VersionPolicy.ANY);
+  }
+
+  /** Creates a dispatcher without endpoints for a service whose versions may be on trial. */
+  public Dispatcher(
+      Service service,
+      String selfId,
+      String ownDomain,
+      RandomGenerator random,
+      VersionPolicy versions) {
+    this.versions = versions;
     this.service = service;
     this.selfId = selfId;
     this.ownDomain = ownDomain;
@@ -258,6 +270,9 @@
       case BROKEN, SILENT, ABANDONED -> {}
       default -> throw new IllegalStateException("unknown outcome " + outcome);
     }
+    if (wasReserving) {
+      versions.onWithdrawn(placement.request().kindName(), placement.endpoint().version());
+    }
     if (outcome == AttemptOutcome.FULL || outcome == AttemptOutcome.FULL_AND_CLOSING) {
       scarceUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SCARCE_MILLIS);
     }
@@ -311,6 +326,7 @@
     line.remove(request);
     long reservedMillis = service.reservations().map(Reservations::validMillis).orElse(0L);
     load.onPlaced(reservedMillis > 0, nowNanos);
+    versions.onPlaced(request.kindName(), load.endpoint().version());
     request.listener().onPlaced(new Placement(request, load.endpoint(), reservedMillis));
   }
 
@@ -330,13 +346,25 @@
     double leftMillis = (request.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     boolean isScarce = nowNanos - scarceUntilNanos < 0;
     long nextNanos = NEVER;
+    // Whoever has waited at an endpoint already is not kept waiting by a version on trial.
+    boolean wantsTrial = !mustStay(request) && versions.wantsTrial(request.kindName());
+    EndpointLoad onTrial = null;
     EndpointLoad best = null;
     double bestScore = Double.MAX_VALUE;
     boolean isBestInTime = false;
     double busyFirstMillis = Double.MAX_VALUE;
     long busyFreeNanos = NEVER;
     for (EndpointLoad load : endpoints.values()) {
-      if (!request.mayUse(load.endpoint().id()) || load.isGone()) {
+      if (!request.mayUse(load.endpoint().id())
+          || load.isGone()
+          || !versions.mayUse(load.endpoint().version())) {
+        continue;
+      }
+      if (versions.isOnTrial(load.endpoint().version())) {
+        onTrial =
+            wantsTrial && isFree(freeNanos(load, rankPauseNanos, nowNanos), nowNanos)
+                ? busierOf(onTrial, load)
+                : onTrial;
         continue;
       }
       double tokensToRead =
@@ -348,7 +376,7 @@
           events * (ownMillisPerEvent > 0 ? ownMillisPerEvent : commonMillisPerEvent);
       double wholeMillis = firstMillis + LENGTH_MARGIN * streamMillis;
       long freeNanos = freeNanos(load, rankPauseNanos, nowNanos);
-      if (freeNanos == NEVER || freeNanos - nowNanos > 0) {
+      if (!isFree(freeNanos, nowNanos)) {
         nextNanos = Math.min(nextNanos, freeNanos);
         boolean isInTimeLater =
             firstMillis + SLOT_WAIT_MILLIS < slackMillis
@@ -376,6 +404,9 @@
         isBestInTime = firstMillis <= slackMillis && wholeMillis <= leftMillis;
       }
     }
+    if (onTrial != null) {
+      return new Choice(onTrial, nextNanos);
+    }
     if (best != null && !isBestInTime && busyFirstMillis < Double.MAX_VALUE) {
       // Only an endpoint that is full now is fast enough; its next slot still comes in time.
       return new Choice(null, busyFreeNanos == NEVER ? nextNanos : busyFreeNanos);
@@ -383,6 +414,22 @@
     return new Choice(best, nextNanos);
   }
 
+  /**
+   * Returns the endpoint with more requests, of equals the one that all instances agree on. Faults
+   * that show only under load show in a trial when its few requests meet.
+   */
+  private static EndpointLoad busierOf(EndpointLoad one, EndpointLoad other) {
+    if (one == null || other.running() > one.running()) {
+      return other;
+    }
+    boolean isBefore = other.endpoint().id().compareTo(one.endpoint().id()) < 0;
+    return other.running() == one.running() && isBefore ? other : one;
+  }
+
+  private static boolean isFree(long freeNanos, long nowNanos) {
+    return freeNanos != NEVER && freeNanos - nowNanos <= 0;
+  }
+
   /** Returns when an endpoint may take one more request, or {@link #NEVER}. */
   private long freeNanos(EndpointLoad load, long rankPauseNanos, long nowNanos) {
     if (!load.hasRoom(ownLimit(load))) {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/DeploymentSource.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/DeploymentSource.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import org.buckthornferry.catalog.Catalog;
 import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.catalog.VersionOrder;
+import org.buckthornferry.rollout.RolloutPhase;
 import org.buckthornferry.store.StoreItem;
 
 /** Where a deployment keeps its configuration and its endpoints in the store, and in which form. */
@@ -21,6 +23,21 @@
   /** Returns the failure domains that get no requests until operators take them back. */
   Set<String> evacuatedDomains(Collection<StoreItem> operatorItems);
 
+  /** Returns the orders to move services to other versions. */
+  Collection<VersionOrder> versionOrders(Collection<StoreItem> operatorItems);
+
+  /** Returns the prefix of the keys under which the states of these moves are written. */
+  String movePrefix();
+
+  /** Returns the key of the state of a service's move. */
+  String moveKey(String serviceName);
+
+  /** Returns the state of a move as it is written. */
+  byte[] encodeMove(String serviceName, String targetVersion, RolloutPhase phase);
+
+  /** Returns the state of a move, or empty when it cannot be read. */
+  Optional<MoveRecord> moveRecord(StoreItem item);
+
   /** Returns an endpoint, or empty when the registration cannot be read or names none to use. */
   Optional<Endpoint> endpoint(StoreItem registration, long nowNanos);
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/OperatingBounds.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/OperatingBounds.java
@@ -15,6 +15,8 @@
  * @param configMillis when a confirmed configuration is in force everywhere
  * @param drainMillis when a leaving endpoint gets no more requests
  * @param graceMillis from the request to stop until the process is killed
+ * @param exposureShare the part of a service's requests that an unproven version may get
+ * @param exposureSlack such requests besides, over all instances
  */
 public record OperatingBounds(
     double retryRatio,
@@ -26,10 +28,12 @@
     long contactMillis,
     long configMillis,
     long drainMillis,
-    long graceMillis) {
+    long graceMillis,
+    double exposureShare,
+    double exposureSlack) {
   /** Bounds that hold when the settings state none; strict ones. */
   public static final OperatingBounds DEFAULTS =
-      new OperatingBounds(0.1, 0, 10_000, 0, 0, 10_000, 3_000, 2_000, 2_000, 8_000);
+      new OperatingBounds(0.1, 0, 10_000, 0, 0, 10_000, 3_000, 2_000, 2_000, 8_000, 0.05, 0);
 
   /** The bounds in force. */
   public static final BlackboardEntry<OperatingBounds> ENTRY =
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -11,7 +11,9 @@
   /** Changes in the store, for an instance that does not read it itself; replies are held. */
   CHANGES(3),
   /** Processes of endpoints that have ended under a content. */
-  CRASHES(4);
+  CRASHES(4),
+  /** What an instance has seen of a move to another version. */
+  MOVE(5);
 
   private final byte code;
 
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -37,6 +37,7 @@
 import org.buckthornferry.fleet.ReaderWatch;
 import org.buckthornferry.fleet.SharedAllowances;
 import org.buckthornferry.fleet.StoreView;
+import org.buckthornferry.fleet.VersionMoves;
 import org.buckthornferry.fleet.ViewExchange;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
@@ -86,6 +87,7 @@
   private final DeploymentController deployment;
   private final InstanceRegistry instances;
   private final PeerCalls peers;
+  private final VersionMoves moves;
   private final StoreView view;
   private final ViewExchange views;
   private final HttpServer callerServer;
@@ -133,11 +135,26 @@
             scheduler,
             MonotonicClock.SYSTEM);
     peers.respondTo(PeerMessageKind.CRASHES, quarantine::answer);
+    this.moves =
+        new VersionMoves(
+            sharedStore,
+            view,
+            source,
+            blackboard,
+            peers,
+            settings.instanceId(),
+            random.nextLong(),
+            this::refreshRelay,
+            scheduler,
+            MonotonicClock.SYSTEM,
+            System::currentTimeMillis);
+    peers.respondTo(PeerMessageKind.MOVE, moves::answer);
     this.relay =
         new Relay(
             blackboard,
             allowances,
             quarantine,
+            moves,
             connector,
             callers,
             endpoints,
@@ -249,6 +266,10 @@
     stopped.complete(null);
   }
 
+  private void refreshRelay() {
+    relay.refresh();
+  }
+
   private List<InetSocketAddress> otherInstances() {
     Set<InetSocketAddress> addresses =
         new LinkedHashSet<>(blackboard.read(FleetView.ENTRY).listed().values());
@@ -301,6 +322,7 @@
     node.put("configVersion", blackboard.read(Catalog.ENTRY).version());
     node.put("storeReachable", view.isReachable());
     node.put("inProgress", relay.inProgress());
+    moves.describe().forEach((service, line) -> node.put("move " + service, line));
     relay
         .describe()
         .forEach(
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -25,6 +25,7 @@
 import org.buckthornferry.fleet.FleetView;
 import org.buckthornferry.fleet.SharedAllowances;
 import org.buckthornferry.fleet.SharedAllowances.Decision;
+import org.buckthornferry.fleet.VersionMoves;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.HttpHandler;
@@ -86,6 +87,7 @@
       Blackboard blackboard,
       SharedAllowances allowances,
       ContentQuarantine quarantine,
+      VersionMoves moves,
       HttpConnector connector,
       CallerProtocol callers,
       EndpointProtocol endpoints,
@@ -100,6 +102,7 @@
             blackboard,
             connector,
             quarantine,
+            moves,
             callers,
             endpoints,
             scheduler,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -24,6 +24,7 @@
 import org.buckthornferry.http.HttpResponseListener;
 import org.buckthornferry.relay.EndpointProtocol.AnswerHead;
 import org.buckthornferry.relay.EndpointProtocol.Reservation;
+import org.buckthornferry.rollout.VersionTrial;
 import org.buckthornferry.util.Completions;
 import org.buckthornferry.util.Scheduler;
 import org.jboss.logging.Logger;
@@ -59,6 +60,9 @@
   /** The shortest pause in a stream that is overdue, in milliseconds; covers a preempted run. */
   private static final long MIN_OVERDUE_GAP_MILLIS = 1_000;
 
+  /** Reading so many tokens of a prompt takes an engine about as long as making one event. */
+  private static final double TOKENS_PER_UNIT = 1_000;
+
   private final RelayEnvironment environment;
   private final ServiceQueue queue;
   private final HttpExchange exchange;
@@ -564,6 +568,23 @@
         current = Optional.empty();
       }
       queue.onEnded(placement, false, outcome);
+      reportEnding(outcome);
+    }
+
+    /** Tells how the endpoint's version did, unless the request has not run. */
+    private void reportEnding(AttemptOutcome outcome) {
+      Optional<VersionTrial.Ending> ending =
+          switch (outcome) {
+            case COMPLETED -> Optional.of(VersionTrial.Ending.ANSWERED);
+            case FAILED, BROKEN -> Optional.of(VersionTrial.Ending.FAILED);
+            case SILENT, ABANDONED -> Optional.of(VersionTrial.Ending.CUT_SHORT);
+            case FULL, FULL_AND_CLOSING, MISDIRECTED, UNREACHABLE -> Optional.empty();
+          };
+      double millis = (environment.clock().nanoTime() - sentNanos) / 1e6;
+      double units = 1 + events + waiting.size().promptTokens() / TOKENS_PER_UNIT;
+      ending.ifPresent(
+          how ->
+              environment.moves().onEnded(placement.endpoint(), route.name(), how, millis, units));
     }
 
     @Override
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -40,7 +40,9 @@
       RandomGenerator random) {
     this.environment = environment;
     this.serviceName = service.name();
-    this.dispatcher = new Dispatcher(service, selfId, ownDomain, random);
+    this.dispatcher =
+        new Dispatcher(
+            service, selfId, ownDomain, random, environment.moves().policy(service.name()));
     this.retries =
         new RetryBudget(environment.blackboard().read(OperatingBounds.ENTRY).retryWindowMillis());
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/LatencyBaseline.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/LatencyBaseline.java
@@ -7,7 +7,7 @@
  * Estimates the median latency of the old version per route by stochastic approximation: each
  * sample moves the estimate by a small factor towards itself.
  */
-final class LatencyBaseline {
+public final class LatencyBaseline {
   private static final double STEP_FACTOR = 1.05;
   private static final int MIN_SAMPLES = 10;
 
@@ -18,7 +18,8 @@
     private int samples;
   }
 
-  void add(String route, double latencyNanos) {
+  /** Adds a request of the old version. */
+  public void add(String route, double latencyNanos) {
     Estimate estimate = byRoute.computeIfAbsent(route, unused -> new Estimate());
     if (estimate.samples == 0) {
       estimate.medianNanos = latencyNanos;
@@ -30,11 +31,14 @@
     estimate.samples++;
   }
 
+  /** Returns whether enough requests have ended to tell slow ones. */
+  boolean isKnown(String route) {
+    Estimate estimate = byRoute.get(route);
+    return estimate != null && estimate.samples >= MIN_SAMPLES;
+  }
+
   /** Returns whether a latency is above {@code ratio} times the median; false while unknown. */
   boolean isSlow(String route, double latencyNanos, double ratio) {
-    Estimate estimate = byRoute.get(route);
-    return estimate != null
-        && estimate.samples >= MIN_SAMPLES
-        && latencyNanos > ratio * estimate.medianNanos;
+    return isKnown(route) && latencyNanos > ratio * byRoute.get(route).medianNanos;
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/MoveEvidence.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/MoveEvidence.java
@@ -2,13 +2,12 @@
 
 import java.util.Optional;
 import java.util.TreeMap;
-import org.buckthornferry.config.RolloutDeclaration;
 
 /**
  * The evidence of one move over all routes, from cumulative counters of any number of instances.
  */
 final class MoveEvidence {
-  private final RolloutDeclaration rollout;
+  private final FaultTerms terms;
   private final TreeMap<String, RouteEvidence> byRoute = new TreeMap<>();
   private final TreeMap<Source, RouteCounts> lastReadings = new TreeMap<>();
   private long newEnded;
@@ -26,8 +25,8 @@
     }
   }
 
-  MoveEvidence(RolloutDeclaration rollout) {
-    this.rollout = rollout;
+  MoveEvidence(FaultTerms terms) {
+    this.terms = terms;
   }
 
   /**
@@ -50,7 +49,7 @@
       newEnded += growth.ended();
       boolean bad = growth.failed() + growth.slow() > 0;
       goodSinceBad = bad ? 0 : goodSinceBad + growth.ended();
-      evidence.addNew(growth, rollout);
+      evidence.addNew(growth, terms);
     } else {
       evidence.addOld(growth);
     }
@@ -85,6 +84,11 @@
     return anyTraffic;
   }
 
+  /** Returns whether no route's evidence comes near a fault. */
+  boolean isUnsuspicious() {
+    return byRoute.values().stream().allMatch(RouteEvidence::isUnsuspicious);
+  }
+
   /** Returns the good requests of the new version since its last failed or slow one. */
   long goodSinceBad() {
     return goodSinceBad;
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/RouteCounts.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/RouteCounts.java
@@ -25,7 +25,8 @@
         ended + 1, failed + (wasFailed ? 1 : 0), slow + (wasSlow && !wasFailed ? 1 : 0));
   }
 
-  RouteCounts plus(RouteCounts other) {
+  /** Returns the sum. */
+  public RouteCounts plus(RouteCounts other) {
     return new RouteCounts(ended + other.ended, failed + other.failed, slow + other.slow);
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/RouteEvidence.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/RouteEvidence.java
@@ -1,7 +1,5 @@
 package org.buckthornferry.rollout;
 
-import org.buckthornferry.config.RolloutDeclaration;
-
 /** The tests of the new version on one route, against the old version in the same period. */
 final class RouteEvidence {
   /** A failure rate below this is taken as this, since few requests cannot prove less. */
@@ -29,20 +27,20 @@
     oldCounts = oldCounts.plus(batch);
   }
 
-  void addNew(RouteCounts batch, RolloutDeclaration rollout) {
+  void addNew(RouteCounts batch, FaultTerms terms) {
     newCounts = newCounts.plus(batch);
     double baseFailureRate = rate(oldCounts.failed(), MIN_FAILURE_RATE);
     failures.add(
         batch.failed(),
         batch.ended() - batch.failed(),
         baseFailureRate,
-        Math.min(MAX_RATE, baseFailureRate + rollout.maxFailureShare()));
+        Math.min(MAX_RATE, baseFailureRate + terms.maxFailureShare()));
     double baseSlowRate = Math.min(0.5, rate(oldCounts.slow(), MIN_SLOW_RATE));
     slowness.add(
         batch.slow(),
         batch.ended() - batch.failed() - batch.slow(),
         baseSlowRate,
-        baseSlowRate + (1 - baseSlowRate) / 2);
+        baseSlowRate + (1 - baseSlowRate) * terms.slowRise());
   }
 
   void stepStarted() {
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/ServiceMove.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/ServiceMove.java
@@ -30,6 +30,9 @@
   /** An instance runs one request at once until this many good ones follow a bad one. */
   private static final int GOOD_AFTER_BAD = 8;
 
+  /** Half of the requests that would not be slow otherwise are slow at a version at fault. */
+  private static final double SLOW_RISE = 0.5;
+
   private final ServiceDeclaration service;
   private final RolloutDeclaration rollout;
   private final VersionShare share = new VersionShare();
@@ -48,7 +51,7 @@
   ServiceMove(ServiceDeclaration service) {
     this.service = service;
     this.rollout = service.rollout().orElseThrow();
-    this.evidence = new MoveEvidence(rollout);
+    this.evidence = new MoveEvidence(new FaultTerms(rollout.maxFailureShare(), SLOW_RISE));
     this.maxRunning = Math.max(MAX_RUNNING, newCapacity(service) / CAPACITY_PER_RUNNING);
     this.state = RolloutState.pending(service);
   }
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -70,6 +70,85 @@
     assertThat(placed.get(0).endpoint()).isEqualTo(fast);
   }
 
+  @Test
+  void aVersionOnTrialGetsOnlyTheRequestsThatItsTrialWants() {
+    Endpoint old = endpoint("old", 4, 0);
+    Endpoint tried = version(endpoint("tried", 4, 0), "v2");
+    TrialOfOneRequest trial = new TrialOfOneRequest();
+    Dispatcher dispatcher = new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), trial);
+    dispatcher.setEndpoints(List.of(old, tried));
+    dispatcher.setInstances(List.of("i1"));
+    for (int i = 0; i < 4; i++) {
+      dispatcher.submit(request("r" + i, 0, 100, 0), millis(1));
+    }
+    dispatcher.dispatch(millis(1));
+    assertThat(placed.stream().filter(p -> p.endpoint().equals(tried)).count()).isEqualTo(1);
+    assertThat(placed).hasSize(4);
+    assertThat(trial.placed).isEqualTo(1);
+    Placement atTried =
+        placed.stream().filter(p -> p.endpoint().equals(tried)).findFirst().orElseThrow();
+    dispatcher.onEnded(atTried, true, AttemptOutcome.FULL, millis(2));
+    assertThat(trial.placed).isEqualTo(0);
+  }
+
+  @Test
+  void aVersionThatWasTakenBackGetsNoRequest() {
+    Endpoint bad = version(endpoint("bad", 4, 0), "v2");
+    TrialOfOneRequest trial = new TrialOfOneRequest();
+    trial.isTakenBack = true;
+    Dispatcher dispatcher = new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), trial);
+    dispatcher.setEndpoints(List.of(bad));
+    dispatcher.setInstances(List.of("i1"));
+    dispatcher.submit(request("r", 0, 100, 0), millis(1));
+    dispatcher.dispatch(millis(1));
+    assertThat(placed).isEmpty();
+  }
+
+  /** Wants one request for version v2. */
+  private static final class TrialOfOneRequest implements VersionPolicy {
+    private int placed;
+    private boolean isTakenBack;
+
+    @Override
+    public boolean mayUse(String version) {
+      return !isTakenBack || !isOnTrial(version);
+    }
+
+    @Override
+    public boolean isOnTrial(String version) {
+      return version.equals("v2");
+    }
+
+    @Override
+    public boolean wantsTrial(String kindName) {
+      return placed == 0;
+    }
+
+    @Override
+    public void onPlaced(String kindName, String version) {
+      placed += isOnTrial(version) ? 1 : 0;
+    }
+
+    @Override
+    public void onWithdrawn(String kindName, String version) {
+      placed -= isOnTrial(version) ? 1 : 0;
+    }
+  }
+
+  private static Endpoint version(Endpoint endpoint, String version) {
+    return new Endpoint(
+        endpoint.id(),
+        endpoint.serviceName(),
+        endpoint.address(),
+        endpoint.failureDomain(),
+        version,
+        endpoint.capacity(),
+        false,
+        0,
+        endpoint.startedEpochMillis(),
+        endpoint.observedNanos());
+  }
+
   /** A caller that is refused at once comes back at an instance that reaches the endpoints. */
   @Test
   void refusesAtOnceWhileNoEndpointCanBeReachedFromHere() {
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
@@ -449,7 +449,9 @@
                     3_000,
                     2_000,
                     2_000,
-                    8_000));
+                    8_000,
+                    0.1,
+                    50));
       }
 
       private long steadyNanos() {
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -61,6 +61,11 @@
     return revision;
   }
 
+  /** Returns the value of a key; empty when there is none. */
+  public String value(String key) {
+    return items.containsKey(key) ? items.get(key).text() : "";
+  }
+
   /** Writes a key as another client would. */
   public void put(String key, String value) {
     revision++;
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/VirtualInstances.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/VirtualInstances.java
@@ -90,6 +90,11 @@
       waiting.forEach(this::deliver);
     }
 
+    /** Returns whether the process stands still. */
+    public boolean isSuspended() {
+      return isSuspended;
+    }
+
     /** Loses all packets between this process and the store, or none. */
     public void cutFromStore(boolean isCut) {
       isCutFromStore = isCut;
