Heed endpoints that say in answers that they leave or want no requests

Callers would see requests cut or refused at endpoints that had said so.

Cause: an endpoint's state was read from the store only; a full endpoint was asked again after 4 ms whatever it said.

EndpointWishes remembers both by process, so that a new process at the address begins clean and one whose registration lapsed is still known. Reservations and releases count as requests. When all endpoints want to be left alone callers hear at once when to come back.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -62,6 +62,12 @@
   /** The shortest time to come back, in milliseconds; about one slot's turn. */
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
+  /**
+   * How much later callers come back for each rank when all endpoints want to be left alone, in
+   * milliseconds, and how far those of a rank are spread.
+   */
+  private static final long RANK_RETURN_MILLIS = 150;
+
   /** How many waiting requests are tried when the first ones fit no free endpoint. */
   private static final int MAX_TRIED = 8;
 
@@ -89,6 +95,7 @@
   private final String ownDomain;
   private final RandomGenerator random;
   private final VersionPolicy versions;
+  private final EndpointWishes wishes = new EndpointWishes();
   private final Map<String, EndpointLoad> endpoints = new HashMap<>();
   private final WaitingLine line = new WaitingLine();
   private final AnswerLengths lengths = new AnswerLengths();
@@ -184,6 +191,27 @@
     return endpoints.size();
   }
 
+  /** An endpoint says that it leaves; returns whether that is news. */
+  public boolean onLeaving(Endpoint endpoint, long nowNanos) {
+    return wishes.onLeaving(endpoint, nowNanos);
+  }
+
+  /** An endpoint wants no request from this instance for a time. */
+  public void onPause(Endpoint endpoint, long millis, long nowNanos) {
+    wishes.onPause(endpoint, millis, nowNanos);
+  }
+
+  /** Returns whether an endpoint takes requests of this instance, as far as it has said. */
+  public boolean isWelcomeAt(Endpoint endpoint, long nowNanos) {
+    return !wishes.isLeaving(endpoint, nowNanos)
+        && wishes.pausedUntilNanos(endpoint, nowNanos) - nowNanos <= 0;
+  }
+
+  /** Returns for how long all endpoints want to be left alone, in milliseconds. */
+  public long allPausedMillis(long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(allPausedUntilNanos(nowNanos) - nowNanos);
+  }
+
   /** Adds a request to the line, or refuses it at once when it would wait for too long. */
   public void submit(WaitingRequest request, long nowNanos) {
     boolean isNew = !request.isCounted();
@@ -205,6 +233,9 @@
       }
       request.markProbe();
     }
+    if (refuseWhilePaused(request, nowNanos)) {
+      return;
+    }
     // A caller that learns at once that it would be late can use its time elsewhere.
     double waitMillis = isNew ? line.expectedWaitMillis(request, nowNanos) : 0;
     if (waitMillis > patienceMillis(request)) {
@@ -357,9 +388,15 @@
     for (EndpointLoad load : endpoints.values()) {
       if (!request.mayUse(load.endpoint().id())
           || load.isGone()
+          || wishes.isLeaving(load.endpoint(), nowNanos)
           || !versions.mayUse(load.endpoint().version())) {
         continue;
       }
+      long pausedUntilNanos = wishes.pausedUntilNanos(load.endpoint(), nowNanos);
+      if (pausedUntilNanos - nowNanos > 0) {
+        nextNanos = Math.min(nextNanos, pausedUntilNanos);
+        continue;
+      }
       if (versions.isOnTrial(load.endpoint().version())) {
         onTrial =
             wantsTrial && isFree(freeNanos(load, rankPauseNanos, nowNanos), nowNanos)
@@ -475,6 +512,8 @@
       if (reachability.isCutOff() && !mustStay(request) && !request.isProbe()) {
         requests.remove();
         refuseCutOff(request, nowNanos);
+      } else if (refuseWhilePaused(request, nowNanos)) {
+        requests.remove();
       } else if (patienceEndNanos(request) - nowNanos <= 0) {
         requests.remove();
         ErrorKind reason = hasEndpoints() ? ErrorKind.DEADLINE_UNREACHABLE : ErrorKind.NO_ENDPOINT;
@@ -488,6 +527,40 @@
     }
   }
 
+  /**
+   * Refuses a request when all endpoints want to be left alone beyond its patience. Callers come
+   * back when the first one takes requests again, the important ones before the others.
+   */
+  private boolean refuseWhilePaused(WaitingRequest request, long nowNanos) {
+    long untilNanos = allPausedUntilNanos(nowNanos);
+    if (untilNanos - Math.max(nowNanos, patienceEndNanos(request)) <= 0 || mustStay(request)) {
+      return false;
+    }
+    long pauseMillis = allPausedMillis(nowNanos);
+    long rankMillis = RANK_RETURN_MILLIS * Math.min(MAX_RANK_PAUSES, request.rank().routeRank());
+    long spreadMillis = (long) (RANK_RETURN_MILLIS * random.nextDouble());
+    request
+        .listener()
+        .onRefused(
+            ErrorKind.NO_ENDPOINT,
+            "all endpoints want no requests for " + pauseMillis + " ms",
+            pauseMillis + rankMillis + spreadMillis);
+    return true;
+  }
+
+  /** Returns when the first of the endpoints ends its pause; the past unless all have one. */
+  private long allPausedUntilNanos(long nowNanos) {
+    long firstNanos = NEVER;
+    for (EndpointLoad load : endpoints.values()) {
+      boolean isLeft = !load.isGone() && !wishes.isLeaving(load.endpoint(), nowNanos);
+      if (isLeft) {
+        long untilNanos = wishes.pausedUntilNanos(load.endpoint(), nowNanos);
+        firstNanos = Math.min(firstNanos, untilNanos);
+      }
+    }
+    return firstNanos == NEVER ? nowNanos : firstNanos;
+  }
+
   /** Another instance cannot take over a request that has been sent or a stream that has begun. */
   private static boolean mustStay(WaitingRequest request) {
     return request.hasBeenSent() || request.isContinuation();
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointProtocol.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointProtocol.java
@@ -20,6 +20,9 @@
   /** Reads the head of an answer. */
   AnswerHead decodeHead(int status, HttpHeaders headers);
 
+  /** Reads what an answer of any kind says of the endpoint itself. */
+  Notice notice(int status, HttpHeaders headers);
+
   /** Returns the call that reserves a slot and memory. */
   Call reserve(long tokens, long validMillis);
 
@@ -64,6 +67,17 @@
     }
   }
 
+  /**
+   * What an endpoint says of itself.
+   *
+   * @param isLeaving whether it is about to end
+   * @param pauseMillis how long it wants no requests of this instance; 0 when it takes them
+   */
+  record Notice(boolean isLeaving, long pauseMillis) {
+    /** Nothing. */
+    public static final Notice NONE = new Notice(false, 0);
+  }
+
   /** A call of the protocol itself. */
   @SuppressWarnings("ArrayRecordComponent") // Calls are sent once and never compared.
   record Call(String method, String path, Map<String, String> headers, byte[] body) {}
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -202,6 +202,7 @@
             onReservation(placement, Optional.empty(), String.valueOf(failure.getMessage()));
             return;
           }
+          queue.onNotice(placement.endpoint(), protocol.notice(reply.status(), reply.headers()));
           onReservation(placement, Optional.of(protocol.decodeReservation(reply)), "");
         });
   }
@@ -220,6 +221,10 @@
     Reservation reservation = answer.get();
     switch (reservation.kind()) {
       case GRANTED -> {
+        if (!queue.isWelcomeAt(placement.endpoint())) {
+          onNotReserved(placement, isWanted, AttemptOutcome.FULL_AND_CLOSING);
+          return;
+        }
         if (isWanted) {
           send(placement, Optional.of(reservation.id()));
           return;
@@ -272,10 +277,18 @@
   }
 
   private void release(Placement placement, String reservationId) {
+    if (!queue.isWelcomeAt(placement.endpoint())) {
+      // The reservation ends by itself after its validity.
+      return;
+    }
     Completions.onComplete(
         call(placement, environment.endpoints().release(reservationId), HttpConnector.Reuse.FRESH),
         (reply, failure) -> {
-          if (failure != null) {
+          if (failure == null) {
+            queue.onNotice(
+                placement.endpoint(),
+                environment.endpoints().notice(reply.status(), reply.headers()));
+          } else {
             // The reservation ends by itself after its validity.
             LOG.infof(
                 "reservation.release_failed id=%s endpoint=%s reason=\"%s\"",
@@ -383,7 +396,7 @@
           new RequestException(
               wasNotRun && mayHaveRun ? ErrorKind.ENDPOINT_FAILED : kind,
               detail,
-              isNotRun ? NOT_RUN_RETRY_MILLIS : 0));
+              isNotRun ? Math.max(NOT_RUN_RETRY_MILLIS, queue.allPausedMillis()) : 0));
     }
   }
 
@@ -601,6 +614,9 @@
     @Override
     public void onHead(int status, HttpHeaders headers) {
       head = environment.endpoints().decodeHead(status, headers);
+      if (!head.isMisdirected()) {
+        queue.onNotice(placement.endpoint(), environment.endpoints().notice(status, headers));
+      }
       lastProgressNanos = environment.clock().nanoTime();
     }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -99,6 +99,27 @@
         bounds.retryRatio(), bounds.retrySlack(), instances, environment.clock().nanoTime());
   }
 
+  /** Takes over what an endpoint says of itself in an answer. */
+  void onNotice(Endpoint endpoint, EndpointProtocol.Notice notice) {
+    long nowNanos = environment.clock().nanoTime();
+    if (notice.isLeaving() && dispatcher.onLeaving(endpoint, nowNanos)) {
+      LOG.infof("endpoint.leaving id=%s service=%s", endpoint.id(), serviceName);
+    }
+    if (notice.pauseMillis() > 0) {
+      LOG.infof("endpoint.paused id=%s millis=%d", endpoint.id(), notice.pauseMillis());
+      dispatcher.onPause(endpoint, notice.pauseMillis(), nowNanos);
+    }
+  }
+
+  /** Returns for how long all endpoints want to be left alone, in milliseconds. */
+  long allPausedMillis() {
+    return dispatcher.allPausedMillis(environment.clock().nanoTime());
+  }
+
+  boolean isWelcomeAt(Endpoint endpoint) {
+    return dispatcher.isWelcomeAt(endpoint, environment.clock().nanoTime());
+  }
+
   void submit(WaitingRequest request) {
     dispatcher.submit(request, environment.clock().nanoTime());
     run();
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -70,6 +70,68 @@
     assertThat(placed.get(0).endpoint()).isEqualTo(fast);
   }
 
+  @Test
+  void aLeavingProcessGetsNothingMoreAlsoWhenItsRegistrationComesBack() {
+    Endpoint leaving = endpoint("e", 4, 0);
+    Dispatcher dispatcher = dispatcher(PLAIN, leaving);
+    assertThat(dispatcher.onLeaving(leaving, millis(1))).isTrue();
+    assertThat(dispatcher.onLeaving(leaving, millis(1))).isFalse();
+    dispatcher.setEndpoints(List.of());
+    dispatcher.setEndpoints(List.of(leaving));
+    dispatcher.submit(request("r", 0, 100, 1), millis(1));
+    dispatcher.dispatch(millis(2));
+    assertThat(placed).isEmpty();
+    dispatcher.setEndpoints(List.of(restarted(leaving)));
+    dispatcher.dispatch(millis(3));
+    assertThat(placed).hasSize(1);
+  }
+
+  @Test
+  void aPausedEndpointIsUsedAgainAfterTheLongestOfItsPauses() {
+    Endpoint paused = endpoint("e", 4, 0);
+    Dispatcher dispatcher = dispatcher(PLAIN, paused);
+    dispatcher.onPause(paused, 200, millis(0));
+    dispatcher.onPause(paused, 50, millis(10));
+    dispatcher.submit(request("r", 0, 100, 10), millis(10));
+    long nextNanos = dispatcher.dispatch(millis(10));
+    assertThat(placed).isEmpty();
+    assertThat(nextNanos).isEqualTo(millis(200));
+    dispatcher.dispatch(millis(200));
+    assertThat(placed).hasSize(1);
+  }
+
+  @Test
+  void callersHearAtOnceWhenAllEndpointsWantToBeLeftAloneTheImportantOnesReturnFirst() {
+    Endpoint one = endpoint("one", 4, 0);
+    Endpoint other = endpoint("other", 4, 0);
+    Dispatcher dispatcher = dispatcher(PLAIN, one, other);
+    dispatcher.submit(request("waiting", 1, 100, 0), millis(0));
+    dispatcher.onPause(one, 30_000, millis(0));
+    dispatcher.onPause(other, 20_000, millis(0));
+    dispatcher.dispatch(millis(0));
+    dispatcher.submit(request("important", 0, 100, 0), millis(0));
+    dispatcher.submit(request("other", 2, 100, 0), millis(0));
+    assertThat(refused).hasSize(3);
+    assertThat(placed).isEmpty();
+    assertThat(retryAfterMillis.get(1)).isAtLeast(20_000L);
+    assertThat(retryAfterMillis.get(1)).isLessThan(retryAfterMillis.get(0));
+    assertThat(retryAfterMillis.get(0)).isLessThan(retryAfterMillis.get(2));
+  }
+
+  private static Endpoint restarted(Endpoint endpoint) {
+    return new Endpoint(
+        endpoint.id(),
+        endpoint.serviceName(),
+        endpoint.address(),
+        endpoint.failureDomain(),
+        endpoint.version(),
+        endpoint.capacity(),
+        false,
+        0,
+        endpoint.startedEpochMillis() + 1,
+        endpoint.observedNanos());
+  }
+
   @Test
   void aVersionOnTrialGetsOnlyTheRequestsThatItsTrialWants() {
     Endpoint old = endpoint("old", 4, 0);
