Tell the store of crashes soon after an outage, and by one try at a time

ContentQuarantineTest.theStoreIsToldSoonAfterAnOutage- AndNotOftenDuringIt failed before (after 14.8 s no other instance knew) and passes: one series, 1 s at most, 250 ms after a conflict.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentQuarantine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentQuarantine.java
@@ -59,9 +59,10 @@
   /**
    * The first pause before the store is tried again, in milliseconds; doubles up to the longest.
    */
-  private static final long FIRST_RETRY_MILLIS = 300;
+  private static final long FIRST_RETRY_MILLIS = 250;
 
-  private static final long MAX_RETRY_MILLIS = 5_000;
+  /** Well below the time after an outage of the store from which bounds hold again. */
+  private static final long MAX_RETRY_MILLIS = 1_000;
 
   private final SharedStore store;
   private final StoreView view;
@@ -298,20 +299,30 @@
     Completions.onComplete(
         written,
         (revision, failure) -> {
-          writing.remove(contentHash);
           if (failure == null) {
+            writing.remove(contentHash);
             stored.put(contentHash, new Stored(revision, crashes));
             write(contentHash, FIRST_RETRY_MILLIS);
             return;
           }
-          if (StoreException.kindOf(failure) == Kind.LEASE_EXPIRED) {
+          Kind reason = StoreException.kindOf(failure);
+          if (reason == Kind.LEASE_EXPIRED) {
             leaseId = OptionalLong.empty();
           }
+          // Another instance has written an entry, which is about to be seen here.
+          long nextMillis =
+              reason == Kind.CONFLICT
+                  ? FIRST_RETRY_MILLIS
+                  : Math.min(MAX_RETRY_MILLIS, 2 * retryMillis);
           LOG.infof(
               "content.write_failed hash=%s reason=\"%s\" retryMillis=%d",
-              contentHash, failure.getMessage(), retryMillis);
+              contentHash, failure.getMessage(), nextMillis);
           scheduler.schedule(
-              () -> write(contentHash, Math.min(MAX_RETRY_MILLIS, 2 * retryMillis)), retryMillis);
+              () -> {
+                writing.remove(contentHash);
+                write(contentHash, nextMillis);
+              },
+              nextMillis);
         });
   }
 
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/ContentQuarantineTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/ContentQuarantineTest.java
@@ -8,6 +8,7 @@
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.endpoint.Verdict;
 import org.buckthornferry.http.Addresses;
+import org.buckthornferry.store.StoreException.Kind;
 import org.buckthornferry.testing.FakeSharedStore;
 import org.buckthornferry.testing.ManualScheduler;
 import org.buckthornferry.testing.VirtualInstances;
@@ -161,6 +162,32 @@
     }
   }
 
+  @Test
+  void theStoreIsToldSoonAfterAnOutageAndNotOftenDuringIt() {
+    for (long outageMillis = 12_000; outageMillis < 18_000; outageMillis += 700) {
+      ContentQuarantineTest test = new ContentQuarantineTest();
+      test.startAll(8);
+      test.store.failWith(Kind.UNAVAILABLE);
+      test.time.advance(outageMillis);
+      int before = test.store.calls();
+      test.time.advance(outageMillis);
+      int callsWithoutCrashes = test.store.calls() - before;
+      for (int i = 0; i < 3; i++) {
+        test.crash(1, i);
+      }
+      before = test.store.calls();
+      test.time.advance(outageMillis);
+      // One instance knows of two crashes; it asks once a second after the first ones.
+      assertThat(test.store.calls() - before)
+          .isAtMost(callsWithoutCrashes + (int) (4 + outageMillis / 1_000));
+      test.store.failWith(null);
+      test.time.advance(BOUND_MILLIS);
+      assertWithMessage("after %s ms", outageMillis)
+          .that(test.instances.get(7).verdict())
+          .isEqualTo(Verdict.QUARANTINED);
+    }
+  }
+
   /** Most contents that are at an endpoint when it ends are sound. */
   @Test
   void aCrashCostsAMessageForEachContentAndNoCallToTheStore() {
