Hold nothing against a content that was at all endpoints when these ended

Found by reading: a content that many ask for (a lookup without a body) is at every endpoint of a small service. When all of these ended at the same moment, three processes had ended under it, it was refused, and no answer could clear it for ten minutes.

Requests that were all on their way when the first of their endpoints ended make one occasion now; a verdict needs two. A content that ends endpoints is sent again after the first end, so it is still refused after three.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentMessages.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentMessages.java
@@ -1,8 +1,8 @@
 package org.buckthornferry.fleet;
 
 import java.io.IOException;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.Map;
+import org.buckthornferry.fleet.ContentCrashes.Crash;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
@@ -11,37 +11,39 @@
   /** The most processes in one message; more are never needed for a verdict. */
   private static final int MAX_PROCESSES = 16;
 
-  /**
-   * The processes of endpoints that have ended under a content; none when it was answered.
-   *
-   * @param processes ids of endpoints with the starts of their processes
-   */
-  record Crashes(String contentHash, Set<String> processes) {}
+  /** What is held against a content; nothing when it was answered. */
+  record Told(String contentHash, ContentCrashes crashes) {}
 
   private ContentMessages() {}
 
-  static byte[] encode(Crashes crashes) {
+  static byte[] encode(String contentHash, ContentCrashes crashes) {
+    Map<String, Crash> byProcess = crashes.byProcess();
     return Packing.pack(
         packer -> {
-          packer.packString(crashes.contentHash).packArrayHeader(crashes.processes.size());
-          for (String process : crashes.processes) {
-            packer.packString(process);
+          packer.packString(contentHash).packMapHeader(byProcess.size());
+          for (Map.Entry<String, Crash> crash : byProcess.entrySet()) {
+            packer
+                .packString(crash.getKey())
+                .packLong(crash.getValue().sentEpochMillis())
+                .packLong(crash.getValue().endedEpochMillis());
           }
         });
   }
 
-  static Crashes decode(byte[] message) throws IOException {
+  static Told decode(byte[] message) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(message)) {
       String contentHash = Packing.text(unpacker);
-      int size = unpacker.unpackArrayHeader();
+      int size = unpacker.unpackMapHeader();
       if (size > MAX_PROCESSES) {
         throw new IOException(size + " processes");
       }
-      Set<String> processes = new TreeSet<>();
+      ContentCrashes crashes = ContentCrashes.NONE;
       for (int i = 0; i < size; i++) {
-        processes.add(Packing.text(unpacker));
+        String process = Packing.text(unpacker);
+        Crash crash = new Crash(unpacker.unpackLong(), unpacker.unpackLong());
+        crashes = crashes.union(ContentCrashes.of(process, crash));
       }
-      return new Crashes(contentHash, Set.copyOf(processes));
+      return new Told(contentHash, crashes);
     }
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentQuarantine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentQuarantine.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.endpoint.Verdict;
@@ -27,8 +27,9 @@
 
 /**
  * Remembers under which contents endpoints have ended, over all attempts of callers and all
- * instances. Content under which three processes have ended is quarantined; an answer to it clears
- * it, because content that ends every endpoint is never answered.
+ * instances. Content under which three processes have ended, on more than one occasion, is
+ * quarantined; an answer to it clears it, because content that ends every endpoint is never
+ * answered.
  *
  * <p>Most contents that were at an endpoint when it ended are sound and end no second one. So a
  * first crash is told only to the content's owner, an instance chosen by its hash. Whoever knows of
@@ -39,10 +40,8 @@
 
   static final String PREFIX = "buckthornferry/crashes/";
 
-  /** Processes that have to end under a content until it is no chance that it was there. */
-  static final int QUARANTINE_CRASHES = 3;
-
-  private static final int SUSPECT_CRASHES = 2;
+  /** Processes that have ended under a content from which on the store is told. */
+  private static final int STORED_PROCESSES = 2;
 
   /** How long crashes are remembered, in milliseconds; the longest time to live of a lease. */
   static final long VALID_MILLIS = 600_000;
@@ -71,7 +70,8 @@
   private final String selfId;
   private final Scheduler scheduler;
   private final MonotonicClock clock;
-  private final AgedTable<Set<String>> heard = new AgedTable<>(MAX_CONTENTS);
+  private final LongSupplier epochMillis;
+  private final AgedTable<ContentCrashes> heard = new AgedTable<>(MAX_CONTENTS);
   private final Map<String, Stored> stored = new HashMap<>();
   private final Set<String> listed = new HashSet<>();
   private final Set<String> writing = new HashSet<>();
@@ -79,7 +79,7 @@
   private OptionalLong leaseId = OptionalLong.empty();
   private long leaseGrantedNanos;
 
-  private record Stored(long revision, Set<String> crashes) {}
+  private record Stored(long revision, ContentCrashes crashes) {}
 
   /** Creates a quarantine that knows of no crash. */
   public ContentQuarantine(
@@ -89,7 +89,8 @@
       PeerCaller peers,
       String selfId,
       Scheduler scheduler,
-      MonotonicClock clock) {
+      MonotonicClock clock,
+      LongSupplier epochMillis) {
     this.store = store;
     this.view = view;
     this.blackboard = blackboard;
@@ -97,6 +98,7 @@
     this.selfId = selfId;
     this.scheduler = scheduler;
     this.clock = clock;
+    this.epochMillis = epochMillis;
     view.add(this);
   }
 
@@ -107,11 +109,7 @@
 
   /** Returns what is held against a content. */
   public Verdict verdict(String contentHash) {
-    int crashes = crashes(contentHash).size();
-    if (crashes >= QUARANTINE_CRASHES) {
-      return Verdict.QUARANTINED;
-    }
-    return crashes == 0 ? Verdict.CLEAR : Verdict.SUSPECT;
+    return crashes(contentHash).verdict();
   }
 
   /** Returns for how long a quarantined content is refused at most, in milliseconds. */
@@ -121,13 +119,22 @@
     return heardMillis > 0 ? heardMillis : VALID_MILLIS;
   }
 
-  /** An endpoint has ended, or broken its connection, while it had a request of this content. */
-  public void onCrash(String contentHash, Endpoint endpoint) {
-    learn(contentHash, Set.of(endpoint.id() + "@" + endpoint.startedEpochMillis()));
+  /**
+   * An endpoint has ended, or broken its connection, while it had a request of this content.
+   *
+   * @param sinceSentMillis how long it had the request
+   */
+  public void onCrash(String contentHash, Endpoint endpoint, long sinceSentMillis) {
+    long nowEpochMillis = epochMillis.getAsLong();
+    learn(
+        contentHash,
+        ContentCrashes.of(
+            endpoint.id() + "@" + endpoint.startedEpochMillis(),
+            new ContentCrashes.Crash(nowEpochMillis - sinceSentMillis, nowEpochMillis)));
     LOG.infof(
         "content.crash hash=%s endpoint=%s crashes=%s verdict=%s",
         contentHash, endpoint.id(), crashes(contentHash), verdict(contentHash));
-    if (crashes(contentHash).size() < SUSPECT_CRASHES) {
+    if (crashes(contentHash).processes() < STORED_PROCESSES) {
       tellOwner(contentHash);
     }
     writeIfSuspect(contentHash);
@@ -135,7 +142,7 @@
 
   /** A request of this content was answered in full. */
   public void onServed(String contentHash) {
-    Set<String> crashes = crashes(contentHash);
+    ContentCrashes crashes = crashes(contentHash);
     if (crashes.isEmpty()) {
       return;
     }
@@ -162,7 +169,7 @@
           boolean hasMoved =
               !Rendezvous.first(hash, before.keySet())
                   .equals(Rendezvous.first(hash, owners.keySet()));
-          if (hasMoved && crashes.size() < SUSPECT_CRASHES) {
+          if (hasMoved && crashes.processes() < STORED_PROCESSES) {
             tellOwner(hash);
           }
         });
@@ -170,15 +177,14 @@
 
   /** Answers another instance that takes this one for the owner of a content. */
   public byte[] answer(byte[] message) throws IOException {
-    ContentMessages.Crashes told = ContentMessages.decode(message);
-    if (told.processes().isEmpty()) {
+    ContentMessages.Told told = ContentMessages.decode(message);
+    if (told.crashes().isEmpty()) {
       heard.remove(told.contentHash());
     } else {
-      learn(told.contentHash(), told.processes());
+      learn(told.contentHash(), told.crashes());
       writeIfSuspect(told.contentHash());
     }
-    return ContentMessages.encode(
-        new ContentMessages.Crashes(told.contentHash(), crashes(told.contentHash())));
+    return ContentMessages.encode(told.contentHash(), crashes(told.contentHash()));
   }
 
   @Override
@@ -195,7 +201,7 @@
       String hash = item.key().substring(PREFIX.length());
       listed.add(hash);
       try {
-        Set<String> crashes = ContentMessages.decode(item.value()).processes();
+        ContentCrashes crashes = ContentMessages.decode(item.value()).crashes();
         stored.put(hash, new Stored(item.revision(), crashes));
         if (!before.contains(hash)) {
           LOG.infof("content.listed hash=%s crashes=%s", hash, crashes);
@@ -210,28 +216,22 @@
     Set.copyOf(stored.keySet()).forEach(this::writeIfSuspect);
   }
 
-  private Set<String> crashes(String contentHash) {
-    Set<String> known = heard.get(contentHash, clock.nanoTime()).orElse(Set.of());
+  private ContentCrashes crashes(String contentHash) {
     Stored entry = stored.get(contentHash);
-    if (entry == null) {
-      return known;
-    }
-    Set<String> all = new TreeSet<>(known);
-    all.addAll(entry.crashes);
-    return all;
+    ContentCrashes known = heard(contentHash);
+    return entry == null ? known : known.union(entry.crashes);
   }
 
-  private void learn(String contentHash, Set<String> processes) {
+  private ContentCrashes heard(String contentHash) {
+    return heard.get(contentHash, clock.nanoTime()).orElse(ContentCrashes.NONE);
+  }
+
+  private void learn(String contentHash, ContentCrashes crashes) {
     Verdict before = verdict(contentHash);
-    Set<String> all = new TreeSet<>(crashes(contentHash));
-    for (String process : processes) {
-      if (all.size() < QUARANTINE_CRASHES) {
-        all.add(process);
-      }
-    }
+    ContentCrashes all = crashes(contentHash).union(crashes);
     long untilNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(VALID_MILLIS);
-    heard.put(contentHash, Set.copyOf(all), untilNanos);
-    if (before != Verdict.QUARANTINED && verdict(contentHash) == Verdict.QUARANTINED) {
+    heard.put(contentHash, all, untilNanos);
+    if (before != Verdict.QUARANTINED && all.verdict() == Verdict.QUARANTINED) {
       LOG.warnf("content.quarantined hash=%s crashes=%s", contentHash, all);
     }
   }
@@ -242,16 +242,14 @@
     if (ownerId.equals(selfId)) {
       return;
     }
-    Set<String> known = heard.get(contentHash, clock.nanoTime()).orElse(Set.of());
-    byte[] message =
-        ContentMessages.encode(new ContentMessages.Crashes(contentHash, Set.copyOf(known)));
+    byte[] message = ContentMessages.encode(contentHash, heard(contentHash));
     Completions.onComplete(
         peers.call(owners.get(ownerId), PeerMessageKind.CRASHES, message, ASK_TIMEOUT_MILLIS),
         (reply, failure) -> onReply(contentHash, ownerId, reply, failure));
   }
 
   private void onReply(String contentHash, String ownerId, byte[] reply, Throwable failure) {
-    boolean isStillHeld = heard.get(contentHash, clock.nanoTime()).isPresent();
+    boolean isStillHeld = !heard(contentHash).isEmpty();
     if (failure != null) {
       LOG.infof("content.owner_silent hash=%s owner=%s reason=%s", contentHash, ownerId, failure);
       if (isStillHeld) {
@@ -260,7 +258,7 @@
       return;
     }
     try {
-      Set<String> known = ContentMessages.decode(reply).processes();
+      ContentCrashes known = ContentMessages.decode(reply).crashes();
       if (isStillHeld && !known.isEmpty()) {
         learn(contentHash, known);
         // The owner writes them too, unless the store is out of its reach.
@@ -272,16 +270,16 @@
   }
 
   private void writeIfSuspect(String contentHash) {
-    if (crashes(contentHash).size() >= SUSPECT_CRASHES) {
+    if (crashes(contentHash).processes() >= STORED_PROCESSES) {
       write(contentHash, FIRST_RETRY_MILLIS);
     }
   }
 
   /** Writes the crashes of a content to the store until they are there or are cleared. */
   private void write(String contentHash, long retryMillis) {
-    Set<String> crashes = crashes(contentHash);
+    ContentCrashes crashes = crashes(contentHash);
     Stored known = stored.get(contentHash);
-    boolean isWritten = known != null && known.crashes.containsAll(crashes);
+    boolean isWritten = known != null && known.crashes.includes(crashes);
     if (crashes.isEmpty() || isWritten || !writing.add(contentHash)) {
       return;
     }
@@ -292,8 +290,7 @@
                     store.apply(
                         StoreChange.put(
                                 PREFIX + contentHash,
-                                ContentMessages.encode(
-                                    new ContentMessages.Crashes(contentHash, crashes)),
+                                ContentMessages.encode(contentHash, crashes),
                                 OptionalLong.of(lease))
                             .onlyIf(PREFIX + contentHash, known == null ? 0 : known.revision)));
     Completions.onComplete(
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -112,8 +112,6 @@
     SharedStore sharedStore = store.apply(connector);
     RandomGenerator random = new SplittableRandom();
     this.peers = new PeerCalls(settings.peerAddress(), eventLoops, scheduler);
-    SharedAllowances allowances =
-        new SharedAllowances(blackboard, peers, settings.instanceId(), MonotonicClock.SYSTEM);
     MonotonicClock viewClock =
         new SuspensionCountingClock(MonotonicClock.SYSTEM, System::currentTimeMillis);
     ReaderWatch changes =
@@ -133,7 +131,8 @@
             peers,
             settings.instanceId(),
             scheduler,
-            MonotonicClock.SYSTEM);
+            MonotonicClock.SYSTEM,
+            System::currentTimeMillis);
     peers.respondTo(PeerMessageKind.CRASHES, quarantine::answer);
     this.moves =
         new VersionMoves(
@@ -149,6 +148,8 @@
             MonotonicClock.SYSTEM,
             System::currentTimeMillis);
     peers.respondTo(PeerMessageKind.MOVE, moves::answer);
+    SharedAllowances allowances =
+        new SharedAllowances(blackboard, peers, settings.instanceId(), MonotonicClock.SYSTEM);
     this.relay =
         new Relay(
             blackboard,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/LoadLog.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/LoadLog.java
@@ -37,8 +37,8 @@
       return;
     }
     LOG.infof(
-        "relay.load admitted=%d sent=%d repeated=%d reservationsRefused=%d placed=%d placedWithKnownSpeed=%d"
-            + " waiting=%d inProgress=%d",
+        "relay.load admitted=%d sent=%d repeated=%d reservationsRefused=%d placed=%d"
+            + " placedWithKnownSpeed=%d waiting=%d inProgress=%d",
         now.admitted - last.admitted,
         now.sent - last.sent,
         now.repeated - last.repeated,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -785,7 +785,12 @@
       }
       close(bytesSent ? AttemptOutcome.BROKEN : AttemptOutcome.UNREACHABLE);
       if (bytesSent) {
-        environment.quarantine().onCrash(request.contentHash(customer), placement.endpoint());
+        environment
+            .quarantine()
+            .onCrash(
+                request.contentHash(customer),
+                placement.endpoint(),
+                TimeUnit.NANOSECONDS.toMillis(environment.clock().nanoTime() - sentNanos));
       }
       if (phase == Phase.ENDED) {
         return;
