--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentCrashes.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentCrashes.java
@@ -9,7 +9,7 @@
 /** The processes of endpoints that have ended under one content, with the times. Immutable. */
 final class ContentCrashes {
   /** Nothing is held against the content. */
-  static final ContentCrashes NONE = new ContentCrashes(new TreeMap<>());
+  static final ContentCrashes NONE = new ContentCrashes(Map.of());
 
   /** Processes that have to end under a content until it is no chance that it was there. */
   private static final int QUARANTINE_PROCESSES = 3;
@@ -23,7 +23,7 @@
   /** The most processes that are remembered; more are not needed for a verdict. */
   private static final int MAX_PROCESSES = 8;
 
-  private final TreeMap<String, Crash> byProcess;
+  private final Map<String, Crash> byProcess;
 
   /**
    * The end of a process, by the time of day of the instance that saw it.
@@ -32,7 +32,7 @@
    */
   record Crash(long sentEpochMillis, long endedEpochMillis) {}
 
-  private ContentCrashes(TreeMap<String, Crash> byProcess) {
+  private ContentCrashes(Map<String, Crash> byProcess) {
     this.byProcess = byProcess;
   }
 
@@ -42,7 +42,7 @@
    * @param process the id of an endpoint with the start of its process
    */
   static ContentCrashes of(String process, Crash crash) {
-    return new ContentCrashes(new TreeMap<>(Map.of(process, crash)));
+    return new ContentCrashes(Map.of(process, crash));
   }
 
   /** Returns the crashes of both. */
