Judge a version on trial also where few times of a route are known

Cause: an instance that has seen fewer than ten answers of a route did not count the route's answers at all, and the sequential test says little when the old version is slow at times too.

Answers of such a route are compared with the times of all routes, and a version whose share of bad answers is 0.2 above the old one's is not sound at the end. VersionTrialTest: both tests fail with the two lines taken out.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/VersionMoves.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/VersionMoves.java
@@ -133,7 +133,7 @@
       onBadAnswer(move);
     }
     if (!isNew && ending == VersionTrial.Ending.ANSWERED) {
-      baseline.add(route, sample.millisPerUnit());
+      VersionTrial.learn(baseline, route, sample.millisPerUnit());
     }
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/MoveEvidence.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/MoveEvidence.java
@@ -89,6 +89,12 @@
     return byRoute.values().stream().allMatch(RouteEvidence::isUnsuspicious);
   }
 
+  /** Returns by how much a route's share of bad requests is above the old version's. */
+  double badShareRise(String route) {
+    RouteEvidence evidence = byRoute.get(route);
+    return evidence == null ? 0 : evidence.badShareRise();
+  }
+
   /** Returns the good requests of the new version since its last failed or slow one. */
   long goodSinceBad() {
     return goodSinceBad;
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/RouteEvidence.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/RouteEvidence.java
@@ -73,6 +73,15 @@
         && slowness.sum() < SequentialTest.FAULT_THRESHOLD / 2;
   }
 
+  /** Returns by how much the share of failed and slow requests is above the old version's. */
+  double badShareRise() {
+    return badShare(newCounts) - badShare(oldCounts);
+  }
+
+  private static double badShare(RouteCounts counts) {
+    return (counts.failed() + counts.slow()) / (double) Math.max(1, counts.ended());
+  }
+
   String faultReason() {
     String kind = failures.showsFault() ? "failures" : "slow responses";
     return kind
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/VersionTrial.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/VersionTrial.java
@@ -35,6 +35,9 @@
   /** A route may be this many requests ahead of the one that was tried least, besides twice its. */
   private static final int ROUTE_LEAD = 3;
 
+  /** A sound version has at most this part more bad answers than the old one at the end. */
+  private static final double MAX_BAD_RISE = 0.2;
+
   /** Answers of the version that a trial needs, over all instances. */
   private static final long MIN_ENDED = 12;
 
@@ -135,12 +138,12 @@
    * @return whether it is a failed or slow one of the new version
    */
   public boolean add(Sample sample, LatencyBaseline baseline) {
+    // Until an instance knows the times of a route it compares with those of all routes.
+    String compared = baseline.isKnown(sample.route) ? sample.route : ALL_ROUTES;
     boolean isFailed = sample.ending == Ending.FAILED;
-    boolean isSlow = !isFailed && baseline.isSlow(sample.route, sample.millisPerUnit, SLOW_RATIO);
+    boolean isSlow = !isFailed && baseline.isSlow(compared, sample.millisPerUnit, SLOW_RATIO);
     boolean saysNothing =
-        !isFailed
-            && !isSlow
-            && (sample.ending == Ending.CUT_SHORT || !baseline.isKnown(sample.route));
+        !isFailed && !isSlow && (sample.ending == Ending.CUT_SHORT || !baseline.isKnown(compared));
     if (saysNothing) {
       return false;
     }
@@ -151,6 +154,12 @@
     return sample.isNewVersion && (isFailed || isSlow);
   }
 
+  /** Adds an answer of the old version to its times. */
+  public static void learn(LatencyBaseline baseline, String route, double millisPerUnit) {
+    baseline.add(route, millisPerUnit);
+    baseline.add(ALL_ROUTES, millisPerUnit);
+  }
+
   /** Returns what this instance has counted since its start. */
   public List<Reading> readings() {
     List<Reading> readings = new ArrayList<>();
@@ -180,7 +189,10 @@
     if (elapsedMillis < durationMillis - marginMillis) {
       return Verdict.OPEN;
     }
-    boolean isSound = answers() >= MIN_ENDED && evidence.isUnsuspicious();
+    boolean isSound =
+        answers() >= MIN_ENDED
+            && evidence.isUnsuspicious()
+            && evidence.badShareRise(ALL_ROUTES) <= MAX_BAD_RISE;
     return isSound ? Verdict.SOUND : Verdict.FAULTY;
   }
 
