--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
@@ -0,0 +1,116 @@
+package org.buckthornferry.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.dispatch.RateLimitNotice;
+import org.buckthornferry.util.ExpiringTable;
+import org.jboss.logging.Logger;
+
+/**
+ * The newest statement of each endpoint process about its rate limit. A limit belongs to a process:
+ * a new process with the same id or address starts without one.
+ */
+final class KnownLimits {
+  private static final Logger LOG = Logger.getLogger(KnownLimits.class);
+
+  /** The maximum number of processes that are known to have a limit. */
+  private static final int MAX_PROCESSES = 4_096;
+
+  /** How long a statement that is not repeated is kept, in milliseconds. */
+  private static final long RETENTION_MILLIS = 600_000;
+
+  /**
+   * The minimum age of a limit that a response without one can withdraw, in milliseconds. Responses
+   * on different connections may arrive out of order by this much.
+   */
+  private static final long MIN_WITHDRAWAL_AGE_MILLIS = 250;
+
+  private final ExpiringTable<Statement> statements = new ExpiringTable<>(MAX_PROCESSES);
+
+  /**
+   * A statement of an endpoint.
+   *
+   * @param statedNanos when an instance received it
+   */
+  record Statement(RateLimitNotice notice, long statedNanos) {
+    boolean isLimited() {
+      return notice.kind() == RateLimitNotice.Kind.LIMITED;
+    }
+  }
+
+  /** Returns the key of an endpoint's process, the same at all instances. */
+  static String processKey(Endpoint endpoint) {
+    return endpoint.id() + "@" + endpoint.address() + "#" + endpoint.startedEpochMillis();
+  }
+
+  Optional<Statement> get(String processKey, long nowNanos) {
+    return statements.get(processKey, nowNanos);
+  }
+
+  /** Returns the limit of a process in requests per second, or empty when it has none. */
+  Optional<Double> perSecond(String processKey, long nowNanos) {
+    return statements
+        .get(processKey, nowNanos)
+        .filter(Statement::isLimited)
+        .map(statement -> statement.notice.perSecond());
+  }
+
+  /**
+   * Records a statement unless a newer one is known.
+   *
+   * @param source the instance from which this one heard it, for the log
+   * @return whether the limit of the process changed
+   */
+  boolean merge(String processKey, Statement statement, String source, long nowNanos) {
+    Statement known = statements.get(processKey, nowNanos).orElse(null);
+    boolean isNewer = known == null || statement.statedNanos - known.statedNanos > 0;
+    if (!isNewer || statement.notice.equals(RateLimitNotice.UNKNOWN)) {
+      return false;
+    }
+    if (!statement.isLimited()
+        && (known == null
+            || (known.isLimited()
+                && statement.statedNanos - known.statedNanos
+                    < TimeUnit.MILLISECONDS.toNanos(MIN_WITHDRAWAL_AGE_MILLIS)))) {
+      return false;
+    }
+    RateLimitNotice before = known == null ? RateLimitNotice.UNLIMITED : known.notice;
+    statements.put(
+        processKey,
+        statement,
+        statement.statedNanos + TimeUnit.MILLISECONDS.toNanos(RETENTION_MILLIS));
+    if (before.equals(statement.notice)) {
+      return false;
+    }
+    if (statement.isLimited()) {
+      LOG.infof(
+          "endpoint.limit_named endpoint=%s perSecond=%s before=%s heardFrom=%s",
+          processKey, statement.notice.perSecond(), describe(before), source);
+    } else {
+      LOG.infof(
+          "endpoint.limit_withdrawn endpoint=%s before=%s heardFrom=%s",
+          processKey, describe(before), source);
+    }
+    return true;
+  }
+
+  /** Returns the limit of each limited process in requests per second, by process key. */
+  Map<String, Double> limited(long nowNanos) {
+    Map<String, Double> limits = new HashMap<>();
+    statements.forEach(
+        nowNanos,
+        (processKey, statement) -> {
+          if (statement.isLimited()) {
+            limits.put(processKey, statement.notice.perSecond());
+          }
+        });
+    return limits;
+  }
+
+  private static String describe(RateLimitNotice notice) {
+    return notice.kind() == RateLimitNotice.Kind.LIMITED ? "" + notice.perSecond() : "none";
+  }
+}
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -29,6 +29,7 @@
 import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.fleet.DeploymentController;
 import org.buckthornferry.fleet.DeploymentSource;
+import org.buckthornferry.fleet.EndpointLimits;
 import org.buckthornferry.fleet.FleetView;
 import org.buckthornferry.fleet.InstanceRegistry;
 import org.buckthornferry.fleet.OperatingBounds;
@@ -156,6 +157,7 @@
             allowances,
             quarantine,
             rollouts,
+            new EndpointLimits(settings.instanceId(), viewClock, registry),
             connector,
             callers,
             endpoints,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointProtocol.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointProtocol.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.dispatch.RateLimitNotice;
 import org.buckthornferry.http.HttpReply;
 
 /** Wire format of requests to endpoints and of their responses. */
@@ -76,11 +77,9 @@
    *
    * @param isLeaving whether the endpoint is shutting down
    * @param pauseMillis how long the endpoint accepts no requests from this instance; 0 if it does
+   * @param rateLimit how many requests the endpoint accepts from all instances together
    */
-  record AvailabilityNotice(boolean isLeaving, long pauseMillis) {
-    /** The endpoint states nothing and accepts requests. */
-    public static final AvailabilityNotice NONE = new AvailabilityNotice(false, 0);
-  }
+  record AvailabilityNotice(boolean isLeaving, long pauseMillis, RateLimitNotice rateLimit) {}
 
   /** A request of the protocol itself, which carries no caller request. */
   @SuppressWarnings("ArrayRecordComponent") // Control requests are sent once and never compared.
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -21,6 +21,7 @@
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
 import org.buckthornferry.fleet.ContentQuarantine;
+import org.buckthornferry.fleet.EndpointLimits;
 import org.buckthornferry.fleet.EndpointList;
 import org.buckthornferry.fleet.FleetView;
 import org.buckthornferry.fleet.RolloutCoordinator;
@@ -88,6 +89,7 @@
       SharedAllowances allowances,
       ContentQuarantine quarantine,
       RolloutCoordinator rollouts,
+      EndpointLimits limits,
       HttpConnector connector,
       CallerProtocol callers,
       EndpointProtocol endpoints,
@@ -103,6 +105,7 @@
             connector,
             quarantine,
             rollouts,
+            limits,
             callers,
             endpoints,
             scheduler,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -2,6 +2,7 @@
 
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.fleet.ContentQuarantine;
+import org.buckthornferry.fleet.EndpointLimits;
 import org.buckthornferry.fleet.RolloutCoordinator;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.util.MonotonicClock;
@@ -13,6 +14,7 @@
     HttpConnector connector,
     ContentQuarantine quarantine,
     RolloutCoordinator rollouts,
+    EndpointLimits limits,
     CallerProtocol callers,
     EndpointProtocol endpoints,
     Scheduler scheduler,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -105,6 +105,7 @@
   /** Applies what an endpoint states about its availability in a response. */
   void onAvailability(Endpoint endpoint, EndpointProtocol.AvailabilityNotice notice) {
     long nowNanos = environment.clock().nanoTime();
+    environment.limits().onNotice(endpoint, notice.rateLimit());
     if (notice.isLeaving() && dispatcher.onLeaving(endpoint, nowNanos)) {
       LOG.infof("endpoint.leaving id=%s service=%s", endpoint.id(), serviceName);
     }
