--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/SharedAllowances.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/SharedAllowances.java
@@ -48,7 +48,7 @@
   private final Map<String, CustomerRateLimiter> ownedAllowances = new HashMap<>();
   private final Map<String, TokenBucket> localAllowances = new HashMap<>();
   private final Map<String, TokenBucket> fallbackAllowances = new HashMap<>();
-  private final Map<String, Long> unresponsiveUntilNanos = new HashMap<>();
+  private final UnresponsivePeers unresponsive;
 
   /** The share of an allowance that a decision is based on. */
   public enum Source {
@@ -91,6 +91,7 @@
     this.peers = peers;
     this.selfId = selfId;
     this.clock = clock;
+    this.unresponsive = new UnresponsivePeers(OWNER_RETRY_MILLIS, clock);
   }
 
   /**
@@ -106,7 +107,7 @@
     FleetView fleet = blackboard.read(FleetView.ENTRY);
     Map<String, InetSocketAddress> candidates = candidates(fleet);
     String ownerId = Rendezvous.first(customer.name(), candidates.keySet()).orElse("");
-    if (ownerId.isEmpty() || isUnresponsive(ownerId)) {
+    if (ownerId.isEmpty() || unresponsive.isInBackoff(ownerId)) {
       return CompletableFuture.completedFuture(takeWithoutOwner(customer, cost, ownerId, fleet));
     }
     OperatingBounds bounds = blackboard.read(OperatingBounds.ENTRY);
@@ -178,9 +179,7 @@
     }
     localAllowances.keySet().retainAll(names);
     fallbackAllowances.keySet().retainAll(names);
-    unresponsiveUntilNanos
-        .keySet()
-        .retainAll(knownInstances(blackboard.read(FleetView.ENTRY)).keySet());
+    unresponsive.retainAll(knownInstances(blackboard.read(FleetView.ENTRY)).keySet());
   }
 
   /**
@@ -197,7 +196,7 @@
         .keySet()
         .forEach(
             id -> {
-              if (unresponsiveUntilNanos.containsKey(id)) {
+              if (unresponsive.contains(id)) {
                 candidates.remove(id);
               }
             });
@@ -265,10 +264,12 @@
         peers.call(address, PeerMessageKind.ALLOWANCE, message, OWNER_TIMEOUT_MILLIS),
         (reply, failure) -> {
           if (failure != null) {
-            onUnresponsive(ownerId, failure);
+            if (unresponsive.onNoReply(ownerId)) {
+              LOG.warnf("allowance.owner_lost owner=%s reason=\"%s\"", ownerId, failure);
+            }
             return CompletableFuture.failedFuture(failure);
           }
-          if (unresponsiveUntilNanos.remove(ownerId) != null) {
+          if (unresponsive.onReply(ownerId)) {
             LOG.infof("allowance.owner_regained owner=%s", ownerId);
           }
           try {
@@ -279,25 +280,13 @@
         });
   }
 
-  private void onUnresponsive(String ownerId, Throwable failure) {
-    long untilNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OWNER_RETRY_MILLIS);
-    if (unresponsiveUntilNanos.put(ownerId, untilNanos) == null) {
-      LOG.warnf("allowance.owner_lost owner=%s reason=\"%s\"", ownerId, failure);
-    }
-  }
-
-  private boolean isUnresponsive(String instanceId) {
-    Long untilNanos = unresponsiveUntilNanos.get(instanceId);
-    return untilNanos != null && untilNanos - clock.nanoTime() > 0;
-  }
-
   private void refundToOwner(Customer customer, double cost, String ownerId) {
     if (ownerId.equals(selfId)) {
       ownedAllowance(customer).refund(cost, clock.nanoTime());
       return;
     }
     InetSocketAddress address = knownInstances(blackboard.read(FleetView.ENTRY)).get(ownerId);
-    if (address == null || isUnresponsive(ownerId)) {
+    if (address == null || unresponsive.isInBackoff(ownerId)) {
       LOG.infof("allowance.not_returned customer=%s owner=%s", customer.name(), ownerId);
       return;
     }
