Keep the rate limit of an endpoint over all instances

Cause: nobody read Server-Limit, and nothing on the platform's path could keep a bound of an endpoint over all instances. Class of fault: a bound that is meant for all instances together and kept by none, or by each alone.

Change: each request to a limited endpoint needs a permit of the endpoint's coordinator. A coordinator grants the share of the limit that belongs to the instances which have called it, so that two coordinators stay within the limit together whatever each instance knows; nothing needs the store. Requests at limited endpoints are sent without a reservation. What is held back goes elsewhere, waits by priority over all instances, or is refused at once.

--- a/buckthornferry/src/main/java/org/buckthornferry/catalog/Endpoint.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Endpoint.java
@@ -25,6 +25,11 @@
     long startedEpochMillis,
     long observedNanos) {
 
+  /** Returns a key of the process that is the same at all instances. */
+  public String processKey() {
+    return id + "@" + address.getHostString() + ":" + address.getPort() + "#" + startedEpochMillis;
+  }
+
   /** Returns whether another registration belongs to the same process. */
   public boolean isSameProcess(Endpoint other) {
     return id.equals(other.id)
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/AttemptOutcome.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/AttemptOutcome.java
@@ -18,6 +18,8 @@
   BROKEN(Evidence.BROKEN),
   /** The endpoint sent nothing for too long. */
   TIMED_OUT(Evidence.BROKEN),
+  /** The endpoint's rate limit permits no request now; nothing was sent. */
+  HELD_BACK(Evidence.NONE),
   /** The caller disconnected or the deadline passed. */
   CANCELLED(Evidence.NONE);
 
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -104,6 +104,7 @@
   private final String ownDomain;
   private final RandomGenerator random;
   private final VersionPolicy versions;
+  private final RateLimitPolicy rateLimits;
   private final EndpointNotices notices = new EndpointNotices();
   private final Map<String, EndpointLoad> endpoints = new HashMap<>();
   private final RequestQueue queue = new RequestQueue();
@@ -119,17 +120,22 @@
 
   /** Creates a dispatcher without endpoints. */
   public Dispatcher(Service service, String selfId, String ownDomain, RandomGenerator random) {
-    this(service, selfId, ownDomain, random, VersionPolicy.ANY);
+    this(service, selfId, ownDomain, random, VersionPolicy.ANY, RateLimitPolicy.NONE);
   }
 
-  /** Creates a dispatcher without endpoints for a service that may have a canary version. */
+  /**
+   * Creates a dispatcher without endpoints for a service that may have a canary version and
+   * endpoints with a rate limit.
+   */
   public Dispatcher(
       Service service,
       String selfId,
       String ownDomain,
       RandomGenerator random,
-      VersionPolicy versions) {
+      VersionPolicy versions,
+      RateLimitPolicy rateLimits) {
     this.versions = versions;
+    this.rateLimits = rateLimits;
     this.service = service;
     this.selfId = selfId;
     this.ownDomain = ownDomain;
@@ -216,9 +222,22 @@
         && notices.pausedUntilNanos(endpoint, nowNanos) - nowNanos <= 0;
   }
 
-  /** Returns how long all endpoints stay paused, in milliseconds. */
-  public long allPausedMillis(long nowNanos) {
-    return TimeUnit.NANOSECONDS.toMillis(allPausedUntilNanos(nowNanos) - nowNanos);
+  /** Returns whether each request to an endpoint needs a permit. */
+  public boolean isLimited(Endpoint endpoint) {
+    return rateLimits.hasLimits() && rateLimits.isLimited(endpoint.processKey());
+  }
+
+  /** Records that an endpoint's rate limit permits no request of this instance for a time. */
+  public void onHeldBack(Endpoint endpoint, long waitMillis, long nowNanos) {
+    load(endpoint).ifPresent(load -> load.onHeldBack(waitMillis, nowNanos));
+  }
+
+  /**
+   * Returns how long all endpoints accept no request because of pauses and rate limits, in
+   * milliseconds.
+   */
+  public long noneAcceptsMillis(long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(acceptsAgainNanos(nowNanos) - nowNanos);
   }
 
   /** Queues a request, or refuses it at once when its expected wait is too long. */
@@ -242,7 +261,7 @@
       }
       request.markProbe();
     }
-    if (refuseIfAllPaused(request, nowNanos)) {
+    if (refuseIfNoneAccepts(request, queue.ahead(request), nowNanos)) {
       return;
     }
     // Refusing early leaves the caller time to try elsewhere.
@@ -269,7 +288,9 @@
     queue.onStarted(placement.request(), nowNanos);
     if (placement.needsReservation()) {
       partitionDetector.onAnswered();
-      load(placement).ifPresent(EndpointLoad::onReserved);
+      load(placement.endpoint()).ifPresent(EndpointLoad::onReserved);
+    } else if (placement.needsPermit()) {
+      load(placement.endpoint()).ifPresent(EndpointLoad::onPermitted);
     }
   }
 
@@ -282,7 +303,7 @@
       // The time depends mostly on whether the prefix was cached, so it says little about speed.
       return;
     }
-    load(placement)
+    load(placement.endpoint())
         .ifPresent(load -> load.speed().onFirstEvent(request.size().promptTokens(), millis));
   }
 
@@ -294,7 +315,7 @@
   public void onStreamEnd(Placement placement, int events, double millis) {
     speeds = null;
     answerLengths.onAnswer(placement.request().size().expectedOutputTokens(), events);
-    load(placement).ifPresent(load -> load.speed().onStream(events, millis));
+    load(placement.endpoint()).ifPresent(load -> load.speed().onStream(events, millis));
   }
 
   /**
@@ -307,7 +328,7 @@
     switch (outcome) {
       case UNREACHABLE -> partitionDetector.onUnreachable(placement.endpoint().id(), nowNanos);
       case COMPLETED, FAILED, FULL, FULL_AND_CLOSING, MISDIRECTED -> partitionDetector.onAnswered();
-      case BROKEN, TIMED_OUT, CANCELLED -> {}
+      case BROKEN, TIMED_OUT, CANCELLED, HELD_BACK -> {}
       default -> throw new IllegalStateException("unknown outcome " + outcome);
     }
     if (wasReserving) {
@@ -316,7 +337,7 @@
     if (outcome == AttemptOutcome.FULL || outcome == AttemptOutcome.FULL_AND_CLOSING) {
       scarceUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SCARCITY_MILLIS);
     }
-    load(placement)
+    load(placement.endpoint())
         .ifPresent(
             load ->
                 load.onAttemptEnded(
@@ -366,10 +387,14 @@
     placed++;
     placedWithKnownSpeed += load.speed().isKnown() ? 1 : 0;
     queue.remove(request);
-    long reservationMillis = service.reservations().map(Reservations::durationMillis).orElse(0L);
-    load.onPlaced(reservationMillis > 0, nowNanos);
+    boolean isLimited = isLimited(load);
+    // A reservation would be a second call to an endpoint that counts calls.
+    long reservationMillis =
+        isLimited ? 0 : service.reservations().map(Reservations::durationMillis).orElse(0L);
+    Placement placement = new Placement(request, load.endpoint(), reservationMillis, isLimited);
+    load.onPlaced(placement.needsGrant(), nowNanos);
     versions.onPlaced(request.routeName(), load.endpoint().version());
-    request.listener().onPlaced(new Placement(request, load.endpoint(), reservationMillis));
+    request.listener().onPlaced(placement);
   }
 
   private Choice choose(WaitingRequest request, long nowNanos) {
@@ -428,9 +453,10 @@
       long availableNanos = availableNanos(load, priorityDelayNanos, nowNanos);
       if (!isAvailable(availableNanos, nowNanos)) {
         nextNanos = Math.min(nextNanos, availableNanos);
+        long waitMillis = Math.max(EXPECTED_SLOT_WAIT_MILLIS, heldBackMillis(load, nowNanos));
         boolean isInTimeAfterWait =
-            firstEventMillis + EXPECTED_SLOT_WAIT_MILLIS < slackMillis
-                && completeMillis + EXPECTED_SLOT_WAIT_MILLIS < remainingMillis;
+            firstEventMillis + waitMillis < slackMillis
+                && completeMillis + waitMillis < remainingMillis;
         if (isInTimeAfterWait && !load.isSuspect() && firstEventMillis < busyFirstEventMillis) {
           busyFirstEventMillis = firstEventMillis;
           busyAvailableNanos = availableNanos;
@@ -483,12 +509,25 @@
 
   /** Returns when an endpoint may get one more request, or {@link #NEVER}. */
   private long availableNanos(EndpointLoad load, long priorityDelayNanos, long nowNanos) {
-    if (!load.canTakeMore(maxRunning(load))) {
+    boolean isLimited = isLimited(load);
+    if (!load.canTakeMore(maxRunning(load)) || (isLimited && load.isAwaitingGrant())) {
       return NEVER;
     }
-    return Math.max(
-        load.availableNanos(priorityDelayNanos),
-        load.coldLimitNanos(service, selfId, instanceIds, nowNanos));
+    long availableNanos =
+        Math.max(
+            load.availableNanos(priorityDelayNanos),
+            load.coldLimitNanos(service, selfId, instanceIds, nowNanos));
+    return isLimited ? Math.max(availableNanos, load.heldBackUntilNanos()) : availableNanos;
+  }
+
+  private boolean isLimited(EndpointLoad load) {
+    return rateLimits.hasLimits() && rateLimits.isLimited(load.processKey());
+  }
+
+  private long heldBackMillis(EndpointLoad load, long nowNanos) {
+    return isLimited(load)
+        ? TimeUnit.NANOSECONDS.toMillis(load.heldBackUntilNanos() - nowNanos)
+        : 0;
   }
 
   private double firstEventMillis(
@@ -529,7 +568,7 @@
       if (partitionDetector.isPartitioned() && !isBoundToInstance(request) && !request.isProbe()) {
         requests.remove();
         refusePartitioned(request, nowNanos);
-      } else if (refuseIfAllPaused(request, nowNanos)) {
+      } else if (refuseIfNoneAccepts(request, 0, nowNanos)) {
         requests.remove();
       } else if (queueDeadlineNanos(request) - nowNanos <= 0) {
         requests.remove();
@@ -545,19 +584,25 @@
   }
 
   /**
-   * Refuses a request when all endpoints stay paused beyond its queue deadline. Retry-After points
-   * to the end of the first pause, with an additional delay for lower priorities.
+   * Refuses a request when pauses and rate limits let no endpoint accept it before its queue
+   * deadline. Retry-After points to the time when one does, with an additional delay for lower
+   * priorities.
+   *
+   * @param ahead the number of waiting requests that get a permit first
    */
-  private boolean refuseIfAllPaused(WaitingRequest request, long nowNanos) {
-    if (!notices.hasPauses(nowNanos)) {
+  private boolean refuseIfNoneAccepts(WaitingRequest request, int ahead, long nowNanos) {
+    if (!notices.hasPauses(nowNanos) && !rateLimits.hasLimits()) {
       return false;
     }
-    long untilNanos = allPausedUntilNanos(nowNanos);
+    long untilNanos = acceptsAgainNanos(nowNanos);
+    if (untilNanos - nowNanos > 0) {
+      untilNanos += (long) (ahead * permitIntervalMillis() * NANOS_PER_MILLI);
+    }
     if (untilNanos - Math.max(nowNanos, queueDeadlineNanos(request)) <= 0
         || isBoundToInstance(request)) {
       return false;
     }
-    long pauseMillis = allPausedMillis(nowNanos);
+    long waitMillis = TimeUnit.NANOSECONDS.toMillis(untilNanos - nowNanos);
     long priorityMillis =
         PRIORITY_RETRY_AFTER_MILLIS
             * Math.min(MAX_PRIORITY_STEPS, request.priority().routePriority());
@@ -566,22 +611,40 @@
         .listener()
         .onRefused(
             ErrorKind.NO_ENDPOINT,
-            "all endpoints want no requests for " + pauseMillis + " ms",
-            pauseMillis + priorityMillis + jitterMillis);
+            "all endpoints want no requests for " + waitMillis + " ms",
+            waitMillis + priorityMillis + jitterMillis);
     return true;
   }
 
-  /** Returns when the first pause ends if all endpoints are paused, else {@code nowNanos}. */
-  private long allPausedUntilNanos(long nowNanos) {
+  /**
+   * Returns when the first endpoint accepts requests again; {@code nowNanos} when one accepts them
+   * now or when there is none.
+   */
+  private long acceptsAgainNanos(long nowNanos) {
     long firstNanos = NEVER;
     for (EndpointLoad load : endpoints.values()) {
       boolean isRemaining = !load.isGone() && !notices.isLeaving(load.endpoint(), nowNanos);
       if (isRemaining) {
-        long untilNanos = notices.pausedUntilNanos(load.endpoint(), nowNanos);
+        long pausedUntilNanos = notices.pausedUntilNanos(load.endpoint(), nowNanos);
+        long untilNanos =
+            isLimited(load)
+                ? Math.max(pausedUntilNanos, load.heldBackUntilNanos())
+                : pausedUntilNanos;
         firstNanos = Math.min(firstNanos, untilNanos);
       }
     }
-    return firstNanos == NEVER ? nowNanos : firstNanos;
+    return firstNanos == NEVER ? nowNanos : Math.max(nowNanos, firstNanos);
+  }
+
+  /** Returns the mean time between two permits of this instance; 0 when it waits for none. */
+  private double permitIntervalMillis() {
+    double permitsPerMilli = 0;
+    for (EndpointLoad load : endpoints.values()) {
+      if (isLimited(load) && load.holdMillis() > 0) {
+        permitsPerMilli += 1.0 / load.holdMillis();
+      }
+    }
+    return permitsPerMilli > 0 ? 1 / permitsPerMilli : 0;
   }
 
   /** Returns whether a request has been sent or streamed, so that no other instance may run it. */
@@ -637,10 +700,10 @@
     request.listener().onRefused(reason, detail, (long) (millis * jitter));
   }
 
-  private Optional<EndpointLoad> load(Placement placement) {
-    EndpointLoad load = endpoints.get(placement.endpoint().id());
+  private Optional<EndpointLoad> load(Endpoint endpoint) {
+    EndpointLoad load = endpoints.get(endpoint.id());
     // The process of the attempt may have left or have been replaced under the same id.
-    boolean isCurrent = load != null && load.endpoint().isSameProcess(placement.endpoint());
+    boolean isCurrent = load != null && load.endpoint().isSameProcess(endpoint);
     return isCurrent ? Optional.of(load) : Optional.empty();
   }
 
@@ -656,6 +719,8 @@
               + load.speed().millisPerToken()
               + " errorShare="
               + load.errorShare()
+              + " limited="
+              + isLimited(load)
               + " suspect="
               + load.isSuspect()
               + " gone="
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
@@ -34,6 +34,7 @@
 
   private final SpeedEstimate speed = new SpeedEstimate();
   private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter();
+  private final String processKey;
   private Endpoint endpoint;
   private long coldUntilNanos;
   private int running;
@@ -42,11 +43,15 @@
   private long fullBackoffUntilNanos;
   private int consecutiveFailures;
   private long failureBackoffUntilNanos;
+  private long heldBackUntilNanos;
+  private long holdMillis;
   private boolean isGone;
   private double errorShare;
 
   EndpointLoad(Endpoint endpoint) {
     update(endpoint);
+    processKey = endpoint.processKey();
+    heldBackUntilNanos = endpoint.observedNanos();
     fullBackoffUntilNanos = endpoint.observedNanos();
     failureBackoffUntilNanos = endpoint.observedNanos();
   }
@@ -61,6 +66,10 @@
     return endpoint;
   }
 
+  String processKey() {
+    return processKey;
+  }
+
   SpeedEstimate speed() {
     return speed;
   }
@@ -90,6 +99,33 @@
             : fullBackoffUntilNanos + priorityDelayNanos);
   }
 
+  /** Returns when to ask for the next permit of an endpoint with a rate limit. */
+  long heldBackUntilNanos() {
+    return heldBackUntilNanos;
+  }
+
+  /** Returns the last wait for a permit in milliseconds; 0 if none had to be waited for. */
+  long holdMillis() {
+    return holdMillis;
+  }
+
+  /** Returns whether a reservation or a permit has been requested and not been answered. */
+  boolean isAwaitingGrant() {
+    return reserving > 0;
+  }
+
+  /** Records that no permit is available for a time. */
+  void onHeldBack(long waitMillis, long nowNanos) {
+    holdMillis = waitMillis;
+    heldBackUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+  }
+
+  /** Records that a permit was granted. */
+  void onPermitted() {
+    reserving--;
+    holdMillis = 0;
+  }
+
   /** Returns whether the endpoint may get one more request of this instance. */
   boolean canTakeMore(int maxRunning) {
     if (isGone || running >= maxRunning) {
@@ -113,10 +149,10 @@
     return service.coldRequestsPerSecond() > 0 && coldUntilNanos - nowNanos > 0;
   }
 
-  void onPlaced(boolean needsReservation, long nowNanos) {
+  void onPlaced(boolean needsGrant, long nowNanos) {
     running++;
     coldStartLimiter.onSent(nowNanos);
-    if (needsReservation) {
+    if (needsGrant) {
       reserving++;
     }
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Placement.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Placement.java
@@ -7,10 +7,22 @@
  *
  * @param reservationMillis how long a reserved slot is held until the request is sent; 0 when the
  *     request is sent without a reservation
+ * @param needsPermit whether the endpoint limits the rate of requests over all instances
  */
-public record Placement(WaitingRequest request, Endpoint endpoint, long reservationMillis) {
+public record Placement(
+    WaitingRequest request, Endpoint endpoint, long reservationMillis, boolean needsPermit) {
+  /** Creates a placement on an endpoint without a rate limit. */
+  public Placement(WaitingRequest request, Endpoint endpoint, long reservationMillis) {
+    this(request, endpoint, reservationMillis, /* needsPermit= */ false);
+  }
+
   /** Returns whether a slot has to be reserved before the request is sent. */
   public boolean needsReservation() {
     return reservationMillis > 0;
   }
+
+  /** Returns whether the request waits for a reservation or a permit before it is sent. */
+  public boolean needsGrant() {
+    return needsReservation() || needsPermit;
+  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/RequestQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/RequestQueue.java
@@ -127,16 +127,11 @@
     if (counts(request).isBelowGuarantee(nowNanos)) {
       return 0;
     }
-    Precedence own = Precedence.of(request);
-    int ahead = 0;
-    for (WaitingRequest other : requests) {
-      if (Precedence.of(other).compareTo(own) <= 0) {
-        ahead++;
-      }
-    }
+    int ahead = ahead(request);
     if (ahead == 0) {
       return 0;
     }
+    Precedence own = Precedence.of(request);
     double startRate = starts.sum(nowNanos) / RATE_WINDOW_MILLIS;
     double higherPriorityRate = 0;
     for (Map.Entry<Precedence, SlidingWindowSum> entry : admitted.entrySet()) {
@@ -148,6 +143,18 @@
     return remainingRate <= 0 ? 0 : ahead / remainingRate;
   }
 
+  /** Returns the number of waiting requests that precede one that is added now. */
+  int ahead(WaitingRequest request) {
+    Precedence own = Precedence.of(request);
+    int ahead = 0;
+    for (WaitingRequest other : requests) {
+      if (Precedence.of(other).compareTo(own) <= 0) {
+        ahead++;
+      }
+    }
+    return ahead;
+  }
+
   int size() {
     return requests.size();
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.dispatch.RateLimitNotice;
 import org.buckthornferry.util.ExpiringTable;
 import org.jboss.logging.Logger;
@@ -41,9 +40,9 @@
     }
   }
 
-  /** Returns the key of an endpoint's process, the same at all instances. */
-  static String processKey(Endpoint endpoint) {
-    return endpoint.id() + "@" + endpoint.address() + "#" + endpoint.startedEpochMillis();
+  /** Returns whether no statement about a limit is known, so that lookups can be skipped. */
+  boolean isEmpty(long nowNanos) {
+    return statements.isEmptyAt(nowNanos);
   }
 
   Optional<Statement> get(String processKey, long nowNanos) {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -13,7 +13,9 @@
   /** Reports endpoint processes that crashed while serving a content. */
   CRASHES(4),
   /** Reports an instance's counts of a rollout to another version. */
-  MOVE(5);
+  MOVE(5),
+  /** Asks for a permit of an endpoint with a rate limit, or tells what is known of the limit. */
+  LIMIT(6);
 
   private final byte code;
 
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -89,6 +89,7 @@
   private final InstanceRegistry instances;
   private final PeerRpc peers;
   private final RolloutCoordinator rollouts;
+  private final EndpointLimits limits;
   private final StoreView storeView;
   private final ViewExchange viewExchange;
   private final HttpServer callerServer;
@@ -151,13 +152,17 @@
     peers.addHandler(PeerMessageKind.MOVE, rollouts::answer);
     SharedAllowances allowances =
         new SharedAllowances(blackboard, peers, settings.instanceId(), MonotonicClock.SYSTEM);
+    this.limits =
+        new EndpointLimits(
+            blackboard, peers, settings.instanceId(), scheduler, viewClock, registry);
+    peers.addHandler(PeerMessageKind.LIMIT, limits::answer);
     this.relay =
         new Relay(
             blackboard,
             allowances,
             quarantine,
             rollouts,
-            new EndpointLimits(settings.instanceId(), viewClock, registry),
+            limits,
             connector,
             callers,
             endpoints,
@@ -210,6 +215,7 @@
         () -> {
           storeView.start();
           relay.start();
+          limits.start();
           instances.start();
           viewExchange.start();
         });
@@ -264,6 +270,7 @@
     }
     storeView.stop();
     viewExchange.stop();
+    limits.stop();
     peers.stop();
     LOG.infof("instance.stopped inProgress=%d elapsedMillis=%d", relay.inProgress(), elapsedMillis);
     stopped.complete(null);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -150,6 +150,7 @@
     maxBudgetMillisByRoute.keySet().retainAll(catalog.routeNames());
     allowances.refresh();
     environment.quarantine().refresh();
+    environment.limits().refresh();
   }
 
   /** Rejects all further requests, which have not run; requests in progress continue. */
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -157,7 +157,11 @@
 
   @Override
   public void onPlaced(Placement placement) {
-    if (placement.needsReservation()) {
+    if (placement.needsPermit()) {
+      phase = Phase.RESERVING;
+      pendingReservation = Optional.of(placement);
+      takePermit(placement, Optional.empty());
+    } else if (placement.needsReservation()) {
       reserve(placement);
     } else {
       send(placement, Optional.empty());
@@ -176,6 +180,35 @@
     }
   }
 
+  /** Sends the request if the endpoint's rate limit permits it now, else queues it again. */
+  private void takePermit(Placement placement, Optional<String> reservationId) {
+    Completions.onComplete(
+        environment.limits().take(placement.endpoint(), waiting.priority()),
+        (permit, failure) -> {
+          boolean isCurrent =
+              phase == Phase.RESERVING && pendingReservation.equals(Optional.of(placement));
+          pendingReservation = isCurrent ? Optional.empty() : pendingReservation;
+          if (!permit.isGranted()) {
+            LOG.infof(
+                "request.held_back id=%s endpoint=%s reason=%s limitPerSecond=%s"
+                    + " sharePerSecond=%.3f waitMillis=%d coordinator=%s",
+                request.requestId(),
+                placement.endpoint().id(),
+                permit.reason().label(),
+                permit.limitPerSecond(),
+                permit.sharePerSecond(),
+                permit.waitMillis(),
+                permit.coordinatorId());
+            queue.onHeldBack(placement.endpoint(), permit.waitMillis());
+            onReservationFailed(placement, isCurrent, AttemptOutcome.HELD_BACK);
+          } else if (!isCurrent || !queue.acceptsRequests(placement.endpoint())) {
+            onReservationFailed(placement, isCurrent, AttemptOutcome.CANCELLED);
+          } else {
+            send(placement, reservationId);
+          }
+        });
+  }
+
   private void reserve(Placement placement) {
     phase = Phase.RESERVING;
     pendingReservation = Optional.of(placement);
@@ -213,6 +246,13 @@
       Placement placement, Optional<Reservation> decoded, String failureText) {
     boolean isCurrent =
         phase == Phase.RESERVING && pendingReservation.equals(Optional.of(placement));
+    boolean isGranted =
+        decoded.map(Reservation::kind).equals(Optional.of(Reservation.Kind.GRANTED));
+    if (isCurrent && isGranted && queue.isLimited(placement.endpoint())) {
+      // The endpoint named a limit after the request was placed.
+      takePermit(placement, decoded.map(Reservation::id));
+      return;
+    }
     pendingReservation = isCurrent ? Optional.empty() : pendingReservation;
     if (decoded.isEmpty()) {
       LOG.infof(
@@ -282,7 +322,7 @@
   }
 
   private void release(Placement placement, String reservationId) {
-    if (!queue.acceptsRequests(placement.endpoint())) {
+    if (!queue.acceptsRequests(placement.endpoint()) || queue.isLimited(placement.endpoint())) {
       // The reservation expires at its TTL.
       return;
     }
@@ -307,12 +347,12 @@
     if (remainingMillis < MIN_ATTEMPT_MILLIS) {
       phase = Phase.WAITING;
       reservationId.ifPresent(id -> release(placement, id));
-      queue.onAttemptEnded(placement, placement.needsReservation(), AttemptOutcome.CANCELLED);
+      queue.onAttemptEnded(placement, placement.needsGrant(), AttemptOutcome.CANCELLED);
       return;
     }
     if (isQuarantined()) {
       reservationId.ifPresent(id -> release(placement, id));
-      queue.onAttemptEnded(placement, placement.needsReservation(), AttemptOutcome.CANCELLED);
+      queue.onAttemptEnded(placement, placement.needsGrant(), AttemptOutcome.CANCELLED);
       onRefused(
           ErrorKind.QUARANTINED,
           "content " + request.contentHash(customer),
@@ -401,7 +441,7 @@
           new RequestException(
               wasNotRun && mayHaveRun ? ErrorKind.ENDPOINT_FAILED : kind,
               detail,
-              isNotRun ? Math.max(NOT_RUN_RETRY_AFTER_MILLIS, queue.allPausedMillis()) : 0));
+              isNotRun ? Math.max(NOT_RUN_RETRY_AFTER_MILLIS, queue.noneAcceptsMillis()) : 0));
     }
   }
 
@@ -604,7 +644,7 @@
             case COMPLETED -> Optional.of(CanaryTrial.Ending.ANSWERED);
             case FAILED, BROKEN -> Optional.of(CanaryTrial.Ending.FAILED);
             case TIMED_OUT, CANCELLED -> Optional.of(CanaryTrial.Ending.CUT_SHORT);
-            case FULL, FULL_AND_CLOSING, MISDIRECTED, UNREACHABLE -> Optional.empty();
+            case FULL, FULL_AND_CLOSING, MISDIRECTED, UNREACHABLE, HELD_BACK -> Optional.empty();
           };
       double millis = (environment.clock().nanoTime() - sentNanos) / 1e6;
       double workUnits = 1 + events + waiting.size().promptTokens() / PROMPT_TOKENS_PER_WORK_UNIT;
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -45,7 +45,12 @@
     this.serviceName = service.name();
     this.dispatcher =
         new Dispatcher(
-            service, selfId, ownDomain, random, environment.rollouts().policy(service.name()));
+            service,
+            selfId,
+            ownDomain,
+            random,
+            environment.rollouts().policy(service.name()),
+            environment.limits());
     this.retryBudget =
         new RetryBudget(environment.blackboard().read(OperatingBounds.ENTRY).retryWindowMillis());
   }
@@ -115,9 +120,17 @@
     }
   }
 
-  /** Returns for how long all endpoints are paused, in milliseconds. */
-  long allPausedMillis() {
-    return dispatcher.allPausedMillis(environment.clock().nanoTime());
+  /** Returns how long no endpoint accepts a request, in milliseconds. */
+  long noneAcceptsMillis() {
+    return dispatcher.noneAcceptsMillis(environment.clock().nanoTime());
+  }
+
+  boolean isLimited(Endpoint endpoint) {
+    return dispatcher.isLimited(endpoint);
+  }
+
+  void onHeldBack(Endpoint endpoint, long waitMillis) {
+    dispatcher.onHeldBack(endpoint, waitMillis, environment.clock().nanoTime());
   }
 
   boolean acceptsRequests(Endpoint endpoint) {
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.buckthornferry.catalog.Endpoint;
@@ -137,7 +138,8 @@
     Endpoint old = endpoint("old", 4, 0);
     Endpoint canary = withVersion(endpoint("tried", 4, 0), "v2");
     OneRequestCanaryPolicy policy = new OneRequestCanaryPolicy();
-    Dispatcher dispatcher = new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), policy);
+    Dispatcher dispatcher =
+        new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), policy, RateLimitPolicy.NONE);
     dispatcher.setEndpoints(List.of(old, canary));
     dispatcher.setInstances(List.of("i1"));
     for (int i = 0; i < 4; i++) {
@@ -158,7 +160,8 @@
     Endpoint bad = withVersion(endpoint("bad", 4, 0), "v2");
     OneRequestCanaryPolicy policy = new OneRequestCanaryPolicy();
     policy.isRolledBack = true;
-    Dispatcher dispatcher = new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), policy);
+    Dispatcher dispatcher =
+        new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), policy, RateLimitPolicy.NONE);
     dispatcher.setEndpoints(List.of(bad));
     dispatcher.setInstances(List.of("i1"));
     dispatcher.submit(request("r", 0, 100, 0), millis(1));
@@ -197,6 +200,148 @@
     }
   }
 
+  @Test
+  void asksForOnePermitAtATimeAndForNoReservationAtALimitedEndpoint() {
+    Endpoint limited = endpoint("limited", 4, 0);
+    Dispatcher dispatcher = limitedDispatcher(MODEL, Set.of(limited), limited);
+    dispatcher.submit(request("first", 0, 100, 0), millis(1));
+    dispatcher.submit(request("second", 0, 100, 0), millis(1));
+    dispatcher.dispatch(millis(1));
+    assertThat(placed).hasSize(1);
+    assertThat(placed.get(0).needsPermit()).isTrue();
+    assertThat(placed.get(0).needsReservation()).isFalse();
+    dispatcher.onSent(placed.get(0), millis(3));
+    dispatcher.dispatch(millis(3));
+    assertThat(placed).hasSize(2);
+  }
+
+  @Test
+  void sendsWhatALimitedEndpointDoesNotAcceptToAnother() {
+    Endpoint limited = endpoint("limited", 4, 0);
+    Endpoint other = endpoint("other", 4, 0);
+    Dispatcher dispatcher = limitedDispatcher(MODEL, Set.of(limited), limited, other);
+    recordFirstEvent(dispatcher, limited, 50);
+    recordFirstEvent(dispatcher, other, 200);
+    WaitingRequest request = request("r", 0, 3_000, 0);
+    dispatcher.submit(request, millis(1));
+    dispatcher.dispatch(millis(1));
+    holdBack(dispatcher, 900, 3);
+    dispatcher.submit(request, millis(3));
+    dispatcher.dispatch(millis(3));
+    assertThat(placed.get(1).endpoint()).isEqualTo(other);
+    assertThat(placed.get(1).needsReservation()).isTrue();
+  }
+
+  @Test
+  void waitsForAPermitThatComesInTimeInOrderOfPriority() {
+    Endpoint limited = endpoint("limited", 4, 0);
+    Dispatcher dispatcher = limitedDispatcher(PLAIN, Set.of(limited), limited);
+    WaitingRequest low = request("low", 2, 100, 0);
+    dispatcher.submit(low, millis(1));
+    dispatcher.dispatch(millis(1));
+    holdBack(dispatcher, 200, 3);
+    dispatcher.submit(low, millis(3));
+    dispatcher.submit(request("high", 0, 100, 0), millis(3));
+    long nextNanos = dispatcher.dispatch(millis(3));
+    assertThat(placed).hasSize(1);
+    assertThat(nextNanos).isEqualTo(millis(203));
+    dispatcher.dispatch(nextNanos);
+    assertThat(placed.get(1).request().requestId()).isEqualTo("high");
+    assertThat(refused).isEmpty();
+  }
+
+  @Test
+  void refusesAtOnceWhatNoLimitedEndpointAcceptsInTime() {
+    Endpoint limited = endpoint("limited", 4, 0);
+    Dispatcher dispatcher = limitedDispatcher(PLAIN, Set.of(limited), limited);
+    WaitingRequest first = request("first", 0, 100, 0);
+    dispatcher.submit(first, millis(1));
+    dispatcher.dispatch(millis(1));
+    holdBack(dispatcher, 600, 3);
+    dispatcher.submit(first, millis(3));
+    // The second permit comes 600 ms after the first, when the request would be late.
+    dispatcher.submit(request("second", 0, 100, 3), millis(3));
+    assertThat(refused).containsExactly("second NO_ENDPOINT");
+    assertThat(retryAfterMillis.get(0)).isAtLeast(1_200L);
+    dispatcher.dispatch(millis(603));
+    holdBack(dispatcher, 2_000, 605);
+    dispatcher.submit(first, millis(605));
+    assertThat(refused).hasSize(2);
+    assertThat(retryAfterMillis.get(1)).isAtLeast(2_000L);
+    assertThat(dispatcher.waiting()).isEqualTo(0);
+  }
+
+  @Test
+  void retriesAndInterruptedStreamsNeedAPermitToo() {
+    Endpoint limited = endpoint("limited", 4, 0);
+    for (boolean isContinuation : new boolean[] {false, true}) {
+      placed.clear();
+      Dispatcher dispatcher = limitedDispatcher(MODEL, Set.of(limited), limited);
+      WaitingRequest request = request("r", 0, 100, 0);
+      request.markSent();
+      if (isContinuation) {
+        request.markContinuation();
+      }
+      dispatcher.submit(request, millis(1));
+      dispatcher.dispatch(millis(1));
+      assertThat(placed.get(0).needsPermit()).isTrue();
+      holdBack(dispatcher, 2_000, 3);
+      dispatcher.submit(request, millis(3));
+      dispatcher.dispatch(millis(1_000));
+      assertThat(placed).hasSize(1);
+      assertThat(refused).isEmpty();
+    }
+  }
+
+  @Test
+  void canaryRequestsNeedAPermitToo() {
+    Endpoint canary = withVersion(endpoint("tried", 4, 0), "v2");
+    OneRequestCanaryPolicy policy = new OneRequestCanaryPolicy();
+    Dispatcher dispatcher =
+        new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), policy, limits(Set.of(canary)));
+    dispatcher.setEndpoints(List.of(canary));
+    dispatcher.setInstances(List.of("i1"));
+    WaitingRequest request = request("r", 0, 100, 0);
+    dispatcher.submit(request, millis(1));
+    dispatcher.dispatch(millis(1));
+    assertThat(placed.get(0).needsPermit()).isTrue();
+    holdBack(dispatcher, 300, 3);
+    assertThat(policy.placed).isEqualTo(0);
+    dispatcher.submit(request, millis(3));
+    dispatcher.dispatch(millis(200));
+    assertThat(placed).hasSize(1);
+  }
+
+  /** Records that the last placement got no permit. */
+  private void holdBack(Dispatcher dispatcher, long waitMillis, long nowMillis) {
+    Placement last = placed.get(placed.size() - 1);
+    dispatcher.onHeldBack(last.endpoint(), waitMillis, millis(nowMillis));
+    dispatcher.onAttemptEnded(last, true, AttemptOutcome.HELD_BACK, millis(nowMillis));
+  }
+
+  private static Dispatcher limitedDispatcher(
+      Service service, Set<Endpoint> limited, Endpoint... endpoints) {
+    Dispatcher dispatcher =
+        new Dispatcher(
+            service, "self", "z1", new SplittableRandom(7), VersionPolicy.ANY, limits(limited));
+    dispatcher.setEndpoints(List.of(endpoints));
+    return dispatcher;
+  }
+
+  private static RateLimitPolicy limits(Set<Endpoint> limited) {
+    return new RateLimitPolicy() {
+      @Override
+      public boolean hasLimits() {
+        return true;
+      }
+
+      @Override
+      public boolean isLimited(String processKey) {
+        return limited.stream().anyMatch(endpoint -> endpoint.processKey().equals(processKey));
+      }
+    };
+  }
+
   private static Endpoint withVersion(Endpoint endpoint, String version) {
     return new Endpoint(
         endpoint.id(),
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/ManualScheduler.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/ManualScheduler.java
@@ -31,6 +31,11 @@
     return TimeUnit.MILLISECONDS.toNanos(nowMillis);
   }
 
+  /** Returns the current time in milliseconds. */
+  public long nowMillis() {
+    return nowMillis;
+  }
+
   /** Lets time pass and runs what becomes due, in order. */
   public void advance(long millis) {
     long endMillis = nowMillis + millis;
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/VirtualInstances.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/VirtualInstances.java
@@ -90,6 +90,11 @@
       waiting.forEach(this::deliver);
     }
 
+    /** Returns whether the process has ended. */
+    public boolean isDead() {
+      return isDead;
+    }
+
     /** Returns whether the process stands still. */
     public boolean isSuspended() {
       return isSuspended;
