Let an instance leave its own view when its registration has ended

Callers of one customer could get up to twice its allowance: a test shows 693,476 tokens in 8 s where 675,672 are permitted. Cause: an instance always listed itself, so the owner of an allowance that had lost its registration went on granting to itself while the others had chosen another owner.

Change: an instance whose registration has ended is lapsed in its own view too, for 8 s, the others keep it for 10 s. Result: InstanceRegistryTest and SharedAllowancesTest failed before and are green.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
@@ -10,7 +10,8 @@
 /**
  * The instances of the deployment.
  *
- * @param listed the registered instances and this one, with their peer addresses
+ * @param listed the registered instances, with their peer addresses; this instance belongs to them
+ *     until its registration has ended
  * @param lapsed instances whose registration ended recently; they may only have lost the store
  * @param failureDomains failure domains of the listed instances, by instance id
  */
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -22,7 +22,9 @@
 
 /**
  * Registers this instance in the store under a lease and tracks the other registered instances.
- * While the store is unreachable, the last view stays in force.
+ * While the store is unreachable, the last view stays in force. An instance whose own registration
+ * has ended leaves its view when it leaves those of the others, so that two instances do not act as
+ * the owner of the same thing.
  */
 public final class InstanceRegistry implements StoreView.Subscriber {
   private static final Logger LOG = Logger.getLogger(InstanceRegistry.class);
@@ -45,7 +47,13 @@
    * How long an instance stays in the view after its registration ended, in milliseconds. All
    * registrations may end in a store outage and return within a few renewal periods.
    */
-  private static final long LAPSED_RETENTION_MILLIS = 10_000;
+  static final long LAPSED_RETENTION_MILLIS = 10_000;
+
+  /**
+   * How long this instance stays in its own view after its registration ended, in milliseconds.
+   * Shorter than for others, because it may learn of the end two seconds later than they do.
+   */
+  static final long LAPSED_SELF_RETENTION_MILLIS = 8_000;
 
   private final SharedStore store;
   private final String selfId;
@@ -60,6 +68,7 @@
   private Map<String, InetSocketAddress> listed = Map.of();
   private Map<String, String> failureDomains = Map.of();
   private OptionalLong leaseId = OptionalLong.empty();
+  private boolean wasRegistered;
   private boolean stopped;
 
   private record Lapsed(InetSocketAddress address, long untilNanos) {}
@@ -179,19 +188,25 @@
         LOG.warnf("instance.unreadable key=%s reason=%s", item.key(), e.getMessage());
       }
     }
-    registered.put(selfId, self.peerAddress());
-    domains.put(selfId, self.failureDomain());
+    wasRegistered |= registered.containsKey(selfId);
+    if (!wasRegistered || registered.isEmpty()) {
+      registered.put(selfId, self.peerAddress());
+      domains.put(selfId, self.failureDomain());
+    }
     if (!registered.keySet().equals(listed.keySet())) {
       LOG.infof(
           "instances.changed count=%d previous=%d storeRevision=%d",
           registered.size(), listed.size(), view.revision());
     }
-    long untilNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAPSED_RETENTION_MILLIS);
+    long nowNanos = clock.nanoTime();
     listed.forEach(
         (id, address) -> {
           if (!registered.containsKey(id)) {
+            long retentionMillis =
+                id.equals(selfId) ? LAPSED_SELF_RETENTION_MILLIS : LAPSED_RETENTION_MILLIS;
+            long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(retentionMillis);
             lapsed.putIfAbsent(id, new Lapsed(address, untilNanos));
-            scheduler.schedule(this::publish, LAPSED_RETENTION_MILLIS + 1);
+            scheduler.schedule(this::publish, retentionMillis + 1);
           }
         });
     listed = Map.copyOf(registered);
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
@@ -49,6 +49,24 @@
     assertThat(blackboard.read(FleetView.ENTRY).lapsed()).isEmpty();
   }
 
+  /** Guards against two owners: the others choose another one in place of a lapsed instance. */
+  @Test
+  void aLapsedInstanceListsItselfNoLongerThanTheOthersDo() {
+    start("i1", blackboard);
+    start("i2", new Blackboard());
+    time.advance(10_000);
+    store.remove(InstanceRegistry.PREFIX + "i1");
+    store.failWritesWith(Kind.UNAVAILABLE);
+    time.advance(5_000);
+    assertThat(blackboard.read(FleetView.ENTRY).listed().keySet()).containsExactly("i2");
+    assertThat(blackboard.read(FleetView.ENTRY).lapsed().keySet()).containsExactly("i1");
+    time.advance(10_000);
+    assertThat(blackboard.read(FleetView.ENTRY).instanceIds()).containsExactly("i2");
+    store.failWritesWith(null);
+    time.advance(5_000);
+    assertThat(blackboard.read(FleetView.ENTRY).instanceIds()).containsExactly("i1", "i2");
+  }
+
   @Test
   void ignoresUnreadableRegistrations() {
     start("i1", blackboard);
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
@@ -37,6 +37,9 @@
   private static final double MAX_COST_TOKENS = 53_000;
   private static final int SEEDS = 40;
 
+  /** The longest time until an instance without the store gets the copy of another one. */
+  private static final long MAX_COPY_AGE_MILLIS = 1_200;
+
   /**
    * Compares with a single bucket for unevenly distributed requests. A difference of one request is
    * allowed, because the order of two requests matters when the bucket is nearly empty.
@@ -123,6 +126,29 @@
     }
   }
 
+  /** The owner reaches the others but not the store, and is told late that it has lapsed. */
+  @Test
+  void keepsTheBoundWhenTheOwnersRegistrationLapses() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      Simulation simulation = new Simulation(seed, SLACK_TOKENS);
+      simulation.run(10_000, simulation.rate.perSecond() / 1.8);
+      int owner = simulation.owner();
+      Simulation.Instance lapsed = simulation.instances.get(owner);
+      Map<String, InetSocketAddress> all = lapsed.view().listed();
+      simulation.lapse(owner);
+      lapsed.setView(all, Map.of());
+      long ownMillis = InstanceRegistry.LAPSED_SELF_RETENTION_MILLIS + MAX_COPY_AGE_MILLIS;
+      simulation.run(ownMillis, 7 * simulation.rate.perSecond() / 1.8);
+      lapsed.setView(simulation.instances.get(owner == 0 ? 1 : 0).view().listed(), Map.of());
+      simulation.run(
+          InstanceRegistry.LAPSED_RETENTION_MILLIS - ownMillis,
+          7 * simulation.rate.perSecond() / 1.8);
+      simulation.drop(owner);
+      simulation.run(20_000, 7 * simulation.rate.perSecond() / 1.8);
+      simulation.assertWithinBound();
+    }
+  }
+
   /** Combines the failures above while slots are free for a part of the requests. */
   @Test
   void keepsTheBoundWhenRequestsBeyondTheAllowanceFindFreeSlots() {
@@ -408,6 +434,18 @@
       }
     }
 
+    /** Removes an instance from the views of the others. */
+    private void drop(int index) {
+      Instance gone = instances.get(index);
+      for (Instance instance : instances) {
+        if (instance != gone) {
+          Map<String, InetSocketAddress> listed = new HashMap<>(instance.view().listed());
+          listed.remove(gone.id);
+          instance.setView(listed, Map.of());
+        }
+      }
+    }
+
     private double grantedTokens() {
       double sum = 0;
       for (double[] request : granted) {
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -42,6 +42,7 @@
   }
 
   private Kind failure;
+  private Kind writeFailure;
   private int calls;
 
   private record Watch(String prefix, long after, CompletableFuture<ChangeBatch> result) {}
@@ -51,6 +52,11 @@
     failure = kind;
   }
 
+  /** Lets further changes fail, or succeed again with null; reads go on. */
+  public void failWritesWith(Kind kind) {
+    writeFailure = kind;
+  }
+
   /** Returns the number of calls so far. */
   public int calls() {
     return calls;
@@ -174,6 +180,9 @@
     if (failed != null) {
       return failed;
     }
+    if (writeFailure != null) {
+      return CompletableFuture.failedFuture(new StoreException(writeFailure, "failing"));
+    }
     for (StoreTransaction.Condition condition : change.conditions()) {
       StoreItem item = items.get(condition.key());
       if ((item == null ? 0 : item.revision()) != condition.revision()) {
