Keep an endpoint's connections within the maximum for all instances

Cause: the maximum for all instances was read and not used; with more instances than the maximum divided by an endpoint's capacity their connections together exceed it, and an endpoint resets those beyond. Change: each instance runs at most its even share of the connections as requests at an endpoint, at least one.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -547,12 +547,14 @@
   /** Returns the maximum number of concurrent requests of this instance at an endpoint. */
   private int maxRunning(EndpointLoad load) {
     int capacity = Math.max(1, load.endpoint().capacity());
+    int instances = Math.max(1, instanceIds.size());
+    int connections = Math.max(1, service.maxConnections() / instances);
     if (service.reservations().isPresent()) {
-      return capacity;
+      return Math.min(capacity, connections);
     }
     // Without reservations, instances share the slots without seeing each other's requests.
-    int share = (int) Math.ceil(1.5 * capacity / Math.max(1, instanceIds.size()));
-    return Math.min(capacity, Math.max(2, share));
+    int share = (int) Math.ceil(1.5 * capacity / instances);
+    return Math.min(Math.min(capacity, connections), Math.max(2, share));
   }
 
   private SpeedSummary speeds() {
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.error.ErrorKind;
@@ -200,6 +201,32 @@
     }
   }
 
+  /** An endpoint resets connections beyond the maximum for all instances together. */
+  @Test
+  void allInstancesTogetherStayWithinTheConnectionsOfAnEndpoint() {
+    int maxConnections = 100;
+    for (int instances : new int[] {1, 8, 40, 60}) {
+      for (boolean hasReservations : new boolean[] {false, true}) {
+        Service service =
+            new Service(
+                "model",
+                maxConnections,
+                0,
+                0,
+                hasReservations ? Optional.of(new Service.Reservations(2_000)) : Optional.empty());
+        Dispatcher dispatcher = dispatcher(service, endpoint("e", 16, 0));
+        dispatcher.setInstances(IntStream.range(0, instances).mapToObj(i -> "i" + i).toList());
+        placed.clear();
+        for (int i = 0; i < 50; i++) {
+          dispatcher.submit(request("r" + i, 0, 100, 0), millis(1));
+        }
+        dispatcher.dispatch(millis(1));
+        assertThat(placed).isNotEmpty();
+        assertThat(instances * placed.size()).isAtMost(maxConnections);
+      }
+    }
+  }
+
   @Test
   void asksForOnePermitAtATimeAndForNoReservationAtALimitedEndpoint() {
     Endpoint limited = endpoint("limited", 4, 0);
