--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -227,17 +227,18 @@
     return rateLimits.hasLimits() && rateLimits.isLimited(endpoint.processKey());
   }
 
-  /** Records that an endpoint's rate limit permits no request of this instance for a time. */
-  public void onHeldBack(Endpoint endpoint, long waitMillis, long nowNanos) {
-    load(endpoint).ifPresent(load -> load.onHeldBack(waitMillis, nowNanos));
+  /** Records that an endpoint's rate limit does not permit a placed request for a time. */
+  public void onHeldBack(Placement placement, long waitMillis, long nowNanos) {
+    load(placement.endpoint())
+        .ifPresent(load -> load.onHeldBack(placement.request().priority(), waitMillis, nowNanos));
   }
 
   /**
-   * Returns how long all endpoints accept no request because of pauses and rate limits, in
-   * milliseconds.
+   * Returns how long all endpoints accept no request of a priority because of pauses and rate
+   * limits, in milliseconds.
    */
-  public long noneAcceptsMillis(long nowNanos) {
-    return TimeUnit.NANOSECONDS.toMillis(acceptsAgainNanos(nowNanos) - nowNanos);
+  public long noneAcceptsMillis(Priority priority, long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(acceptsAgainNanos(priority, nowNanos) - nowNanos);
   }
 
   /** Queues a request, or refuses it at once when its expected wait is too long. */
@@ -437,7 +438,8 @@
       if (versions.isCanary(load.endpoint().version())) {
         canary =
             wantsCanaryRequest
-                    && isAvailable(availableNanos(load, priorityDelayNanos, nowNanos), nowNanos)
+                    && isAvailable(
+                        availableNanos(load, request, priorityDelayNanos, nowNanos), nowNanos)
                 ? busierOf(canary, load)
                 : canary;
         continue;
@@ -450,10 +452,11 @@
       double streamMillis =
           expectedEvents * (ownMillisPerEvent > 0 ? ownMillisPerEvent : meanMillisPerEvent);
       double completeMillis = firstEventMillis + LENGTH_MARGIN_FACTOR * streamMillis;
-      long availableNanos = availableNanos(load, priorityDelayNanos, nowNanos);
+      long availableNanos = availableNanos(load, request, priorityDelayNanos, nowNanos);
       if (!isAvailable(availableNanos, nowNanos)) {
         nextNanos = Math.min(nextNanos, availableNanos);
-        long waitMillis = Math.max(EXPECTED_SLOT_WAIT_MILLIS, heldBackMillis(load, nowNanos));
+        long waitMillis =
+            Math.max(EXPECTED_SLOT_WAIT_MILLIS, heldBackMillis(load, request.priority(), nowNanos));
         boolean isInTimeAfterWait =
             firstEventMillis + waitMillis < slackMillis
                 && completeMillis + waitMillis < remainingMillis;
@@ -507,8 +510,9 @@
     return availableNanos != NEVER && availableNanos - nowNanos <= 0;
   }
 
-  /** Returns when an endpoint may get one more request, or {@link #NEVER}. */
-  private long availableNanos(EndpointLoad load, long priorityDelayNanos, long nowNanos) {
+  /** Returns when an endpoint may get a request, or {@link #NEVER}. */
+  private long availableNanos(
+      EndpointLoad load, WaitingRequest request, long priorityDelayNanos, long nowNanos) {
     boolean isLimited = isLimited(load);
     if (!load.canTakeMore(maxRunning(load)) || (isLimited && load.isAwaitingGrant())) {
       return NEVER;
@@ -517,16 +521,18 @@
         Math.max(
             load.availableNanos(priorityDelayNanos),
             load.coldLimitNanos(service, selfId, instanceIds, nowNanos));
-    return isLimited ? Math.max(availableNanos, load.heldBackUntilNanos()) : availableNanos;
+    return isLimited
+        ? Math.max(availableNanos, load.heldBackUntilNanos(request.priority(), nowNanos))
+        : availableNanos;
   }
 
   private boolean isLimited(EndpointLoad load) {
     return rateLimits.hasLimits() && rateLimits.isLimited(load.processKey());
   }
 
-  private long heldBackMillis(EndpointLoad load, long nowNanos) {
+  private long heldBackMillis(EndpointLoad load, Priority priority, long nowNanos) {
     return isLimited(load)
-        ? TimeUnit.NANOSECONDS.toMillis(load.heldBackUntilNanos() - nowNanos)
+        ? TimeUnit.NANOSECONDS.toMillis(load.heldBackUntilNanos(priority, nowNanos) - nowNanos)
         : 0;
   }
 
@@ -596,7 +602,7 @@
     if (!notices.hasPauses(nowNanos) && !rateLimits.hasLimits()) {
       return false;
     }
-    long untilNanos = acceptsAgainNanos(nowNanos);
+    long untilNanos = acceptsAgainNanos(request.priority(), nowNanos);
     if (untilNanos - nowNanos > 0) {
       untilNanos += (long) (ahead * permitIntervalMillis() * NANOS_PER_MILLI);
     }
@@ -619,10 +625,10 @@
   }
 
   /**
-   * Returns when the first endpoint accepts requests again; {@code nowNanos} when one accepts them
-   * now or when there is none.
+   * Returns when the first endpoint accepts requests of a priority again; {@code nowNanos} when one
+   * accepts them now or when there is none.
    */
-  private long acceptsAgainNanos(long nowNanos) {
+  private long acceptsAgainNanos(Priority priority, long nowNanos) {
     long firstNanos = NEVER;
     for (EndpointLoad load : endpoints.values()) {
       boolean isRemaining = !load.isGone() && !notices.isLeaving(load.endpoint(), nowNanos);
@@ -630,7 +636,7 @@
         long pausedUntilNanos = notices.pausedUntilNanos(load.endpoint(), nowNanos);
         long untilNanos =
             isLimited(load)
-                ? Math.max(pausedUntilNanos, load.heldBackUntilNanos())
+                ? Math.max(pausedUntilNanos, load.heldBackUntilNanos(priority, nowNanos))
                 : pausedUntilNanos;
         firstNanos = Math.min(firstNanos, untilNanos);
       }
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
@@ -43,6 +43,7 @@
   private long fullBackoffUntilNanos;
   private int consecutiveFailures;
   private long failureBackoffUntilNanos;
+  private Priority heldBackPriority = Priority.HIGHEST;
   private long heldBackUntilNanos;
   private long holdMillis;
   private boolean isGone;
@@ -99,9 +100,12 @@
             : fullBackoffUntilNanos + priorityDelayNanos);
   }
 
-  /** Returns when to ask for the next permit of an endpoint with a rate limit. */
-  long heldBackUntilNanos() {
-    return heldBackUntilNanos;
+  /**
+   * Returns when to ask for the next permit of an endpoint with a rate limit. A request of higher
+   * priority than the one that got none may ask at once.
+   */
+  long heldBackUntilNanos(Priority priority, long nowNanos) {
+    return priority.compareTo(heldBackPriority) < 0 ? nowNanos : heldBackUntilNanos;
   }
 
   /** Returns the last wait for a permit in milliseconds; 0 if none had to be waited for. */
@@ -114,8 +118,9 @@
     return reserving > 0;
   }
 
-  /** Records that no permit is available for a time. */
-  void onHeldBack(long waitMillis, long nowNanos) {
+  /** Records that no permit is available for a request of the given priority for a time. */
+  void onHeldBack(Priority priority, long waitMillis, long nowNanos) {
+    heldBackPriority = priority;
     holdMillis = waitMillis;
     heldBackUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis);
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Priority.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Priority.java
@@ -7,6 +7,9 @@
  * first.
  */
 public record Priority(int customerPriority, int routePriority) implements Comparable<Priority> {
+  /** No other priority comes before this one. */
+  public static final Priority HIGHEST = new Priority(Integer.MIN_VALUE, Integer.MIN_VALUE);
+
   private static final Comparator<Priority> ORDER =
       Comparator.comparingInt(Priority::customerPriority).thenComparingInt(Priority::routePriority);
 
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -199,7 +199,7 @@
                 permit.sharePerSecond(),
                 permit.waitMillis(),
                 permit.coordinatorId());
-            queue.onHeldBack(placement.endpoint(), permit.waitMillis());
+            queue.onHeldBack(placement, permit.waitMillis());
             onReservationFailed(placement, isCurrent, AttemptOutcome.HELD_BACK);
           } else if (!isCurrent || !queue.acceptsRequests(placement.endpoint())) {
             onReservationFailed(placement, isCurrent, AttemptOutcome.CANCELLED);
@@ -441,7 +441,10 @@
           new RequestException(
               wasNotRun && mayHaveRun ? ErrorKind.ENDPOINT_FAILED : kind,
               detail,
-              isNotRun ? Math.max(NOT_RUN_RETRY_AFTER_MILLIS, queue.noneAcceptsMillis()) : 0));
+              isNotRun
+                  ? Math.max(
+                      NOT_RUN_RETRY_AFTER_MILLIS, queue.noneAcceptsMillis(waiting.priority()))
+                  : 0));
     }
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -8,6 +8,7 @@
 import org.buckthornferry.dispatch.AttemptOutcome;
 import org.buckthornferry.dispatch.Dispatcher;
 import org.buckthornferry.dispatch.Placement;
+import org.buckthornferry.dispatch.Priority;
 import org.buckthornferry.dispatch.RetryBudget;
 import org.buckthornferry.dispatch.WaitingRequest;
 import org.buckthornferry.fleet.FleetView;
@@ -120,17 +121,17 @@
     }
   }
 
-  /** Returns how long no endpoint accepts a request, in milliseconds. */
-  long noneAcceptsMillis() {
-    return dispatcher.noneAcceptsMillis(environment.clock().nanoTime());
+  /** Returns how long no endpoint accepts a request of a priority, in milliseconds. */
+  long noneAcceptsMillis(Priority priority) {
+    return dispatcher.noneAcceptsMillis(priority, environment.clock().nanoTime());
   }
 
   boolean isLimited(Endpoint endpoint) {
     return dispatcher.isLimited(endpoint);
   }
 
-  void onHeldBack(Endpoint endpoint, long waitMillis) {
-    dispatcher.onHeldBack(endpoint, waitMillis, environment.clock().nanoTime());
+  void onHeldBack(Placement placement, long waitMillis) {
+    dispatcher.onHeldBack(placement, waitMillis, environment.clock().nanoTime());
   }
 
   boolean acceptsRequests(Endpoint endpoint) {
