--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointLimitsTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointLimitsTest.java
@@ -333,6 +333,21 @@
     assertThat(fleet.take(asker, 0).reason()).isEqualTo(HoldReason.COORDINATOR_LOST);
   }
 
+  @Test
+  void metricsShowTheLimitTheOwnShareAndWhatWasHeldBack() {
+    Fleet fleet = new Fleet(4, 0, 1);
+    Instance asker = fleet.nonCoordinator();
+    asker.limits.onNotice(ENDPOINT, RateLimitNotice.limited(2));
+    fleet.run(8_000);
+    assertThat(fleet.take(asker, 0).isGranted()).isTrue();
+    assertThat(fleet.take(asker, 0).isGranted()).isFalse();
+    assertThat(asker.gauge("relay.limits.endpoints")).isEqualTo(1);
+    assertThat(asker.gauge("relay.limits.named_per_second")).isEqualTo(2.0);
+    assertThat(asker.gauge("relay.limits.own_per_second")).isEqualTo(0.5);
+    assertThat(asker.registry.counter("relay.limits.permits").getCount()).isEqualTo(1);
+    assertThat(asker.registry.counter("relay.limits.held_back.rate_used").getCount()).isEqualTo(1);
+  }
+
   @Test
   void importantRequestsComeFirstOverAllInstances() {
     Fleet fleet = new Fleet(8, 0, 41);
@@ -593,6 +608,7 @@
     private final int index;
     private final PriorityQueue<WaitingRequest> waiting =
         new PriorityQueue<>(Comparator.comparing(WaitingRequest::priority));
+    private final MetricRegistry registry = new MetricRegistry();
     private Priority priority = new Priority(0, 0);
     private boolean isAsking;
     private boolean knowsOthers = true;
@@ -605,7 +621,7 @@
       this.fleet = fleet;
       this.index = index;
       MonotonicClock clock = new SuspensionCountingClock(process, process::timeOfDayMillis);
-      limits = new EndpointLimits(blackboard, this::call, id, process, clock, new MetricRegistry());
+      limits = new EndpointLimits(blackboard, this::call, id, process, clock, registry);
       addHandler(PeerMessageKind.LIMIT, limits::answer);
       blackboard.writerOf(EndpointList.ENTRY).accept(new EndpointList(List.of(ENDPOINT), true));
     }
@@ -623,6 +639,10 @@
       }
     }
 
+    private Object gauge(String name) {
+      return registry.getGauges().get(name).getValue();
+    }
+
     private boolean isLimited() {
       return limits.isLimited(ENDPOINT.processKey());
     }
