Give a version few requests until its answers show that it is sound

Cause: answers count as slow above three times the old version's median, and its endpoints are unlike (15, 28 and 75 ms a unit), so that most answers of a version that is four times slower passed; only the timer stopped it. Change: at most 45 requests of all instances until the answers would let the version be accepted, and none while they would not; a steeper second test for slowness.

Result: aSlowVersionOnUnlikeHardwareIsStoppedByEvidence failed before (28,400 ms, 27,976 permitted) and is green.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/RolloutCoordinator.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/RolloutCoordinator.java
@@ -166,7 +166,8 @@
     if (isLeader(rollout)) {
       lead(rollout);
     }
-    return RolloutMessages.encodePhase(rollout.isStopped ? RolloutPhase.TAKEN_BACK : rollout.phase);
+    RolloutPhase phase = rollout.isProven ? RolloutPhase.STEPPING : RolloutPhase.PENDING;
+    return RolloutMessages.encodePhase(rollout.isStopped ? RolloutPhase.TAKEN_BACK : phase);
   }
 
   /** Returns a description of each rollout by service name, for the state dump. */
@@ -269,7 +270,9 @@
 
   private void onReply(Rollout rollout, byte[] reply) {
     try {
-      if (RolloutMessages.decodePhase(reply) == RolloutPhase.TAKEN_BACK && !rollout.isStopped) {
+      RolloutPhase phase = RolloutMessages.decodePhase(reply);
+      rollout.isProven = phase == RolloutPhase.STEPPING;
+      if (phase == RolloutPhase.TAKEN_BACK && !rollout.isStopped) {
         rollout.isStopped = true;
         LOG.infof("move.stopped service=%s reason=\"the leader rolled it back\"", rollout.name());
         onChanged.run();
@@ -281,6 +284,7 @@
 
   private void lead(Rollout rollout) {
     rollout.trial.read(selfProcessId, rollout.trial.readings());
+    rollout.isProven = rollout.trial.looksSound();
     CanaryTrial.Verdict verdict =
         rollout.isStopped
             ? CanaryTrial.Verdict.FAULTY
@@ -363,6 +367,7 @@
     private final Map<String, Long> lastReportNanos = new HashMap<>();
     private Set<String> replacedVersions = Set.of();
     private boolean isStopped;
+    private boolean isProven;
     private boolean isReporting;
     private boolean isWriting;
     private boolean isScheduled;
@@ -484,12 +489,15 @@
 
     private boolean wantsNew(Rollout rollout, String kindName) {
       OperatingBounds bounds = blackboard.read(OperatingBounds.ENTRY);
+      FleetView fleet = blackboard.read(FleetView.ENTRY);
       return rollout.trial.prefersNew(
           kindName,
           new CanaryTrial.Exposure(
               bounds.exposureShare(),
               bounds.exposureSlack(),
-              blackboard.read(FleetView.ENTRY).instanceCount()),
+              fleet.instanceCount(),
+              Rendezvous.rank("move/" + rollout.name(), selfId, fleet.instanceIds())),
+          rollout.isProven,
           rollout.elapsedMillis());
     }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/CanaryTrial.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/CanaryTrial.java
@@ -36,6 +36,13 @@
   /** How far the requests of a route may exceed twice those of the least tried route. */
   private static final int MAX_ROUTE_LEAD_REQUESTS = 3;
 
+  /**
+   * The number of requests, over all instances, that a version may receive before its answers show
+   * that it is sound. A version must be stopped in time after 50 bad answers, and unlike hardware
+   * may hide from the evidence that its answers are slow.
+   */
+  private static final int MAX_UNPROVEN_REQUESTS = 45;
+
   /** The highest increase of the share of bad answers at a sound version, at the end. */
   private static final double MAX_BAD_SHARE_INCREASE = 0.2;
 
@@ -86,8 +93,14 @@
    * @param share the share of all requests of the service
    * @param slack the number of requests permitted in addition, over all instances
    * @param instances the instances that share {@code slack}
+   * @param rank the position of this instance among them, from 0
    */
-  public record Exposure(double share, double slack, int instances) {}
+  public record Exposure(double share, double slack, int instances, int rank) {
+    /** Returns this instance's part of a number of requests. */
+    private int partOf(int requests) {
+      return requests / Math.max(1, instances) + (rank < requests % Math.max(1, instances) ? 1 : 0);
+    }
+  }
 
   /**
    * An ended attempt at an endpoint.
@@ -104,8 +117,15 @@
     this.durationMillis = durationMillis;
   }
 
-  /** Returns whether the next request of a route should go to the new version. */
-  public boolean prefersNew(String route, Exposure exposure, long elapsedMillis) {
+  /**
+   * Returns whether the next request of a route should go to the new version.
+   *
+   * @param isProven whether the answers of all instances show so far that the version is sound
+   */
+  public boolean prefersNew(String route, Exposure exposure, boolean isProven, long elapsedMillis) {
+    if (!isProven && placedNew >= exposure.partOf(MAX_UNPROVEN_REQUESTS)) {
+      return false;
+    }
     double elapsedFraction = Math.min(1, elapsedMillis / (double) Math.max(1, durationMillis));
     double slack =
         USED_FRACTION_OF_SLACK
@@ -195,11 +215,14 @@
     if (elapsedMillis < durationMillis - marginMillis) {
       return Verdict.OPEN;
     }
-    boolean isSound =
-        answers() >= MIN_ANSWERS
-            && evidence.isBelowWarningLevel()
-            && evidence.badShareIncrease(ALL_ROUTES) <= MAX_BAD_SHARE_INCREASE;
-    return isSound ? Verdict.SOUND : Verdict.FAULTY;
+    return looksSound() ? Verdict.SOUND : Verdict.FAULTY;
+  }
+
+  /** Returns whether the version would be accepted if the trial ended now. */
+  public boolean looksSound() {
+    return answers() >= MIN_ANSWERS
+        && evidence.isBelowWarningLevel()
+        && evidence.badShareIncrease(ALL_ROUTES) <= MAX_BAD_SHARE_INCREASE;
   }
 
   /** Returns whether the decision must be made now, without waiting for further counts. */
--- a/buckthornferry/src/main/java/org/buckthornferry/rollout/RouteEvidence.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/rollout/RouteEvidence.java
@@ -16,8 +16,12 @@
 
   private static final double MAX_FAULT_RATE = 0.95;
 
+  /** The share of the other answers that are slow at a version that is slow in general. */
+  private static final double GENERAL_SLOW_SHARE = 0.6;
+
   private final CusumTest failures = new CusumTest();
   private final CusumTest slowness = new CusumTest();
+  private final CusumTest generalSlowness = new CusumTest();
   private RouteCounts oldCounts = RouteCounts.ZERO;
   private RouteCounts newCounts = RouteCounts.ZERO;
   private long newEndedAtStepStart;
@@ -41,6 +45,11 @@
         batch.ended() - batch.failed() - batch.slow(),
         baseSlowRate,
         baseSlowRate + (1 - baseSlowRate) * thresholds.slowShareIncrease());
+    generalSlowness.add(
+        batch.slow(),
+        batch.ended() - batch.failed() - batch.slow(),
+        baseSlowRate,
+        baseSlowRate + (1 - baseSlowRate) * GENERAL_SLOW_SHARE);
   }
 
   void stepStarted() {
@@ -59,7 +68,7 @@
   }
 
   boolean showsFault() {
-    return failures.showsFault() || slowness.showsFault();
+    return failures.showsFault() || slowness.showsFault() || generalSlowness.showsFault();
   }
 
   /** Returns whether the route passes the step with at least {@code minRequests} requests. */
@@ -70,7 +79,8 @@
   /** Returns whether the evidence is below half of the fault threshold. */
   boolean isBelowWarningLevel() {
     return failures.sum() < CusumTest.FAULT_THRESHOLD / 2
-        && slowness.sum() < CusumTest.FAULT_THRESHOLD / 2;
+        && slowness.sum() < CusumTest.FAULT_THRESHOLD / 2
+        && generalSlowness.sum() < CusumTest.FAULT_THRESHOLD / 2;
   }
 
   /** Returns the increase of the share of failed and slow requests over the old version. */
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/RolloutCoordinatorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/RolloutCoordinatorTest.java
@@ -24,6 +24,7 @@
 import org.buckthornferry.testing.ManualScheduler;
 import org.buckthornferry.testing.VirtualInstances;
 import org.buckthornferry.util.Rendezvous;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -90,6 +91,7 @@
     LEADER_SUSPENDED,
     LEADER_CUT_FROM_OTHERS,
     LEADER_CUT_FROM_STORE,
+    ANOTHER_CUT_FROM_OTHERS,
     STORE_DOWN_AT_THE_END
   }
 
@@ -140,6 +142,49 @@
     }
   }
 
+  /**
+   * The fastest endpoints of the new version are as slow as the slowest ones of the old version, so
+   * that single answers say little.
+   */
+  @Test
+  void aSlowVersionOnUnlikeHardwareIsStoppedByEvidence() {
+    for (Disruption disruption :
+        new Disruption[] {
+          Disruption.NONE, Disruption.LEADER_KILLED, Disruption.ANOTHER_CUT_FROM_OTHERS
+        }) {
+      for (int seed = 1; seed <= SEEDS; seed++) {
+        Simulation simulation =
+            new Simulation(seed, seed % 5 == 0 ? 60 : 7, Fault.ALWAYS, true, disruption);
+        simulation.hasUnlikeHardware = true;
+        simulation.requestsPerSecondAndInstance = seed % 5 == 0 ? 3 : 10;
+        simulation.disruptsAfterBadAnswers = 40;
+        simulation.run();
+        simulation.assertBounds();
+        assertWithMessage(simulation.name).that(simulation.state()).isEqualTo("TAKEN_BACK");
+        if (simulation.badAnswerMillis.size() >= ROLLBACK_BAD_ANSWERS) {
+          assertWithMessage(simulation.name)
+              .that(simulation.lastExposedMillis)
+              .isAtMost(
+                  simulation.badAnswerMillis.get(ROLLBACK_BAD_ANSWERS - 1)
+                      + MAX_ROLLBACK_MILLIS / 2);
+        }
+      }
+    }
+  }
+
+  @Tag("known-red")
+  @Test
+  void aSoundVersionOnUnlikeHardwareIsCompleted() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      Simulation simulation =
+          new Simulation(seed, seed % 5 == 0 ? 60 : 7, Fault.NONE, false, Disruption.NONE);
+      simulation.hasUnlikeHardware = true;
+      simulation.requestsPerSecondAndInstance = seed % 5 == 0 ? 3 : 10;
+      simulation.run();
+      assertWithMessage(simulation.name).that(simulation.state()).isEqualTo("DONE");
+    }
+  }
+
   /** The first order is rolled back; the second is for another version. */
   @Test
   void aLaterOrderStartsANewRollout() {
@@ -180,7 +225,9 @@
    */
   private static final class Simulation {
     private static final long STEP_MILLIS = 10;
-    private static final double REQUESTS_PER_SECOND_AND_INSTANCE = 3.2;
+
+    /** Times per unit of work of the endpoints of one version, relative to the fastest. */
+    private static final double[] HARDWARE = {1, 1, 1, 1, 1, 1.9, 1.9, 1.9, 1.9, 5, 5, 5, 5};
 
     private final ManualScheduler time = new ManualScheduler();
     private final FakeSharedStore store = new FakeSharedStore(time);
@@ -196,6 +243,9 @@
     private long requests;
     private long exposedRequests;
     private long lastExposedMillis;
+    private double requestsPerSecondAndInstance = 3.2;
+    private boolean hasUnlikeHardware;
+    private int disruptsAfterBadAnswers;
 
     private Simulation(int seed, int count, Fault fault, boolean isSlow, Disruption disruption) {
       this.random = new SplittableRandom(seed);
@@ -221,6 +271,10 @@
       orderedMillis = nowMillis();
       store.put("order/" + SERVICE, "v2");
       requestsUntil(orderedMillis + 2_000);
+      while (badAnswerMillis.size() < disruptsAfterBadAnswers
+          && nowMillis() < orderedMillis + DURATION_MILLIS / 2) {
+        requestsUntil(nowMillis() + STEP_MILLIS);
+      }
       Instance leader = leader();
       inject(leader);
       requestsUntil(orderedMillis + DURATION_MILLIS - 4_000);
@@ -244,6 +298,8 @@
         }
         case LEADER_CUT_FROM_OTHERS -> leader.process.cutFromOthers(true);
         case LEADER_CUT_FROM_STORE -> leader.process.cutFromStore(true);
+        case ANOTHER_CUT_FROM_OTHERS ->
+            instances.get(instances.get(0) == leader ? 1 : 0).process.cutFromOthers(true);
         case NONE, STORE_DOWN_AT_THE_END -> {}
         default -> throw new IllegalStateException("unknown disruption " + disruption);
       }
@@ -260,7 +316,7 @@
     }
 
     private void requestsUntil(long endMillis) {
-      double requestProbability = REQUESTS_PER_SECOND_AND_INSTANCE * STEP_MILLIS / 1_000;
+      double requestProbability = requestsPerSecondAndInstance * STEP_MILLIS / 1_000;
       while (nowMillis() < endMillis) {
         for (Instance instance : instances) {
           if (random.nextDouble() < requestProbability && !instance.process.isSuspended()) {
@@ -286,7 +342,9 @@
       boolean isBad = isNew && fault.isBad(route, sentMillis - orderedMillis, random);
       double units = 5 + random.nextInt(40);
       double normalMillis = 20 * Math.exp(0.3 * approximateGaussian()) * units;
-      double millis = isBad && isSlow ? 5 * normalMillis : normalMillis;
+      double hardware = hasUnlikeHardware ? HARDWARE[random.nextInt(HARDWARE.length)] : 1;
+      double slowdown = isBad && isSlow ? (hasUnlikeHardware ? 4 : 5) : 1;
+      double millis = hardware * slowdown * normalMillis;
       Ending ending = isBad && !isSlow ? Ending.FAILED : Ending.ANSWERED;
       boolean isRareFailure = random.nextDouble() < 0.01;
       time.schedule(
