Split the coordination of rate limits from asking for permits

No behaviour changes; two findings of the linter are mended by names (needsPermit, encodeRequest, encodeReply). EndpointLimitsTest, LimitedServiceTest, DispatcherTest green, lint clean.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -388,11 +388,11 @@
     placed++;
     placedWithKnownSpeed += load.speed().isKnown() ? 1 : 0;
     queue.remove(request);
-    boolean isLimited = isLimited(load);
+    boolean needsPermit = needsPermit(load);
     // A reservation would be a second call to an endpoint that counts calls.
     long reservationMillis =
-        isLimited ? 0 : service.reservations().map(Reservations::durationMillis).orElse(0L);
-    Placement placement = new Placement(request, load.endpoint(), reservationMillis, isLimited);
+        needsPermit ? 0 : service.reservations().map(Reservations::durationMillis).orElse(0L);
+    Placement placement = new Placement(request, load.endpoint(), reservationMillis, needsPermit);
     load.onPlaced(placement.needsGrant(), nowNanos);
     versions.onPlaced(request.routeName(), load.endpoint().version());
     request.listener().onPlaced(placement);
@@ -513,25 +513,25 @@
   /** Returns when an endpoint may get a request, or {@link #NEVER}. */
   private long availableNanos(
       EndpointLoad load, WaitingRequest request, long priorityDelayNanos, long nowNanos) {
-    boolean isLimited = isLimited(load);
-    if (!load.canTakeMore(maxRunning(load)) || (isLimited && load.isAwaitingGrant())) {
+    boolean needsPermit = needsPermit(load);
+    if (!load.canTakeMore(maxRunning(load)) || (needsPermit && load.isAwaitingGrant())) {
       return NEVER;
     }
     long availableNanos =
         Math.max(
             load.availableNanos(priorityDelayNanos),
             load.coldLimitNanos(service, selfId, instanceIds, nowNanos));
-    return isLimited
+    return needsPermit
         ? Math.max(availableNanos, load.heldBackUntilNanos(request.priority(), nowNanos))
         : availableNanos;
   }
 
-  private boolean isLimited(EndpointLoad load) {
+  private boolean needsPermit(EndpointLoad load) {
     return rateLimits.hasLimits() && rateLimits.isLimited(load.processKey());
   }
 
   private long heldBackMillis(EndpointLoad load, Priority priority, long nowNanos) {
-    return isLimited(load)
+    return needsPermit(load)
         ? TimeUnit.NANOSECONDS.toMillis(load.heldBackUntilNanos(priority, nowNanos) - nowNanos)
         : 0;
   }
@@ -635,7 +635,7 @@
       if (isRemaining) {
         long pausedUntilNanos = notices.pausedUntilNanos(load.endpoint(), nowNanos);
         long untilNanos =
-            isLimited(load)
+            needsPermit(load)
                 ? Math.max(pausedUntilNanos, load.heldBackUntilNanos(priority, nowNanos))
                 : pausedUntilNanos;
         firstNanos = Math.min(firstNanos, untilNanos);
@@ -648,7 +648,7 @@
   private double permitIntervalMillis() {
     double permitsPerMilli = 0;
     for (EndpointLoad load : endpoints.values()) {
-      if (isLimited(load) && load.holdMillis() > 0) {
+      if (needsPermit(load) && load.holdMillis() > 0) {
         permitsPerMilli += 1.0 / load.holdMillis();
       }
     }
@@ -728,7 +728,7 @@
               + " errorShare="
               + load.errorShare()
               + " limited="
-              + isLimited(load)
+              + needsPermit(load)
               + " suspect="
               + load.isSuspect()
               + " gone="
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
@@ -61,18 +61,6 @@
   /** A permit that arrives later than this is not used: the instance may have been suspended. */
   private static final long MAX_PERMIT_AGE_MILLIS = 500;
 
-  /** Base period of the calls by which an instance shows that it knows a limit. */
-  private static final long PRESENCE_PERIOD_MILLIS = 1_000;
-
-  /** Added to the period per instance, in milliseconds; bounds the calls in large fleets. */
-  private static final long PRESENCE_PERIOD_MILLIS_PER_INSTANCE = 3;
-
-  /** Time without a call after which an instance does not count, in periods. */
-  private static final double PRESENCE_PERIODS = 2;
-
-  /** The interval between two log lines on the limits that an instance coordinates. */
-  private static final long LOG_INTERVAL_MILLIS = 5_000;
-
   private final Blackboard blackboard;
   private final PeerCaller peers;
   private final String selfId;
@@ -80,7 +68,7 @@
   private final MonotonicClock clock;
   private final KnownLimits known = new KnownLimits();
   private final UnresponsivePeers unresponsive;
-  private final Map<String, Coordinated> coordinated = new HashMap<>();
+  private final LimitCoordinator coordinator;
   private final Map<String, Contact> contacts = new HashMap<>();
   private final Map<String, List<String>> coordinatorOrders = new HashMap<>();
   private final Counter permits;
@@ -111,21 +99,6 @@
   /** The last reply of a coordinator about an endpoint process. */
   private record Contact(long callNanos, double sharePerSecond) {}
 
-  /** An endpoint process whose permits this instance grants. */
-  private static final class Coordinated {
-    private final FleetRateLimiter limiter;
-    private int instances;
-    private long lastCallNanos;
-    private long loggedNanos;
-    private long loggedGranted;
-    private long loggedRefused;
-
-    private Coordinated(long nowNanos) {
-      limiter = new FleetRateLimiter(nowNanos);
-      loggedNanos = nowNanos;
-    }
-  }
-
   /** Creates an instance's component without known limits. */
   public EndpointLimits(
       Blackboard blackboard,
@@ -140,6 +113,7 @@
     this.scheduler = scheduler;
     this.clock = clock;
     this.unresponsive = new UnresponsivePeers(COORDINATOR_RETRY_MILLIS, clock);
+    this.coordinator = new LimitCoordinator(known, blackboard, this::announce, clock);
     this.permits = registry.counter("relay.limits.permits");
     for (HoldReason reason : HoldReason.values()) {
       heldBack.put(reason, registry.counter("relay.limits.held_back." + reason.label()));
@@ -160,7 +134,7 @@
 
   /** Starts the regular calls to coordinators. */
   public void start() {
-    scheduler.schedule(this::callCoordinators, presencePeriodMillis(instanceCount()));
+    scheduler.schedule(this::callCoordinators, LimitCoordinator.callPeriodMillis(instanceCount()));
   }
 
   /** Ends the regular calls. */
@@ -237,10 +211,10 @@
       if (mergeFromPeer(request.processKey(), request.known(), request.senderId(), nowNanos)) {
         callCoordinator(request.processKey());
       }
-      return LimitMessages.encode(
+      return LimitMessages.encodeReply(
           new LimitMessages.Reply(0, HoldReason.RATE_USED, 0, knownNotice(request.processKey())));
     }
-    return LimitMessages.encode(coordinate(request));
+    return LimitMessages.encodeReply(coordinate(request));
   }
 
   /** Applies a change of the instances. */
@@ -250,41 +224,11 @@
   }
 
   private LimitMessages.Reply coordinate(LimitMessages.Request request) {
-    long nowNanos = clock.nanoTime();
     String processKey = request.processKey();
-    mergeFromPeer(processKey, request.known(), request.senderId(), nowNanos);
-    if (!isLimited(processKey)) {
-      if (coordinated.remove(processKey) != null) {
-        announce(processKey, candidates().keySet());
-      }
-      return new LimitMessages.Reply(0, HoldReason.RATE_USED, 0, knownNotice(processKey));
-    }
-    Coordinated own = coordinated.get(processKey);
-    if (own == null) {
-      own = new Coordinated(nowNanos);
-      coordinated.put(processKey, own);
-      announce(processKey, candidates().keySet());
-    }
-    own.lastCallNanos = nowNanos;
-    own.instances = Math.max(instanceCount(), request.instances());
-    FleetRateLimiter.Terms terms = terms(own, limitPerSecond(processKey));
-    FleetRateLimiter.Decision decision = new FleetRateLimiter.Decision(0, HoldReason.RATE_USED);
-    if (request.purpose() == Purpose.TAKE) {
-      decision = own.limiter.take(request.senderId(), request.priority(), terms, nowNanos);
-    } else {
-      own.limiter.onPresent(request.senderId(), terms, nowNanos);
-    }
-    double perSecond = own.limiter.grantedPerSecond(terms, nowNanos);
+    mergeFromPeer(processKey, request.known(), request.senderId(), clock.nanoTime());
+    LimitCoordinator.Outcome outcome = coordinator.handle(request);
     return new LimitMessages.Reply(
-        decision.waitMillis(),
-        decision.reason(),
-        perSecond / Math.max(1, own.limiter.present()),
-        knownNotice(processKey));
-  }
-
-  private FleetRateLimiter.Terms terms(Coordinated own, double perSecond) {
-    long presenceMillis = (long) (PRESENCE_PERIODS * presencePeriodMillis(own.instances));
-    return new FleetRateLimiter.Terms(perSecond, own.instances, presenceMillis);
+        outcome.waitMillis(), outcome.reason(), outcome.sharePerSecond(), knownNotice(processKey));
   }
 
   private boolean mergeFromPeer(
@@ -314,7 +258,7 @@
       return;
     }
     byte[] message =
-        LimitMessages.encode(request(Purpose.ANNOUNCE, processKey, new Priority(0, 0)));
+        LimitMessages.encodeRequest(request(Purpose.ANNOUNCE, processKey, new Priority(0, 0)));
     Map<String, InetSocketAddress> addresses = candidates();
     for (String otherId : instanceIds) {
       if (otherId.equals(selfId)) {
@@ -336,7 +280,7 @@
       return;
     }
     long nowNanos = clock.nanoTime();
-    long periodMillis = presencePeriodMillis(instanceCount());
+    long periodMillis = LimitCoordinator.callPeriodMillis(instanceCount());
     Set<String> listed = new HashSet<>();
     for (Endpoint endpoint : blackboard.read(EndpointList.ENTRY).endpoints()) {
       listed.add(endpoint.processKey());
@@ -349,43 +293,10 @@
       }
     }
     contacts.keySet().retainAll(limited().keySet());
-    coordinated.entrySet().removeIf(entry -> logOrDrop(entry.getKey(), entry.getValue(), nowNanos));
-    coordinated.forEach(this::announceToAbsent);
+    coordinator.onPeriod();
     scheduler.schedule(this::callCoordinators, periodMillis);
   }
 
-  /** Announces a limit to instances that do not call, such as newly started ones. */
-  private void announceToAbsent(String processKey, Coordinated own) {
-    List<String> absent =
-        candidates().keySet().stream().filter(id -> !own.limiter.isPresent(id)).toList();
-    announce(processKey, absent);
-  }
-
-  /** Logs the state of a limit that this instance coordinates; returns whether to forget it. */
-  private boolean logOrDrop(String processKey, Coordinated own, long nowNanos) {
-    double limitPerSecond = limitPerSecond(processKey);
-    FleetRateLimiter.Terms terms = terms(own, limitPerSecond);
-    boolean isIdle =
-        nowNanos - own.lastCallNanos > TimeUnit.MILLISECONDS.toNanos(terms.presenceMillis());
-    if (isIdle
-        || nowNanos - own.loggedNanos >= TimeUnit.MILLISECONDS.toNanos(LOG_INTERVAL_MILLIS)) {
-      LOG.infof(
-          "limit.state endpoint=%s perSecond=%s grantedPerSecond=%.3f present=%d instances=%d"
-              + " granted=%d refused=%d",
-          processKey,
-          limitPerSecond,
-          own.limiter.grantedPerSecond(terms, nowNanos),
-          own.limiter.present(),
-          own.instances,
-          own.limiter.granted() - own.loggedGranted,
-          own.limiter.refused() - own.loggedRefused);
-      own.loggedNanos = nowNanos;
-      own.loggedGranted = own.limiter.granted();
-      own.loggedRefused = own.limiter.refused();
-    }
-    return isIdle;
-  }
-
   private void callCoordinator(String processKey) {
     if (stopped) {
       return;
@@ -416,7 +327,10 @@
     }
     return Completions.thenOnOutcome(
         peers.call(
-            address, PeerMessageKind.LIMIT, LimitMessages.encode(request), CALL_TIMEOUT_MILLIS),
+            address,
+            PeerMessageKind.LIMIT,
+            LimitMessages.encodeRequest(request),
+            CALL_TIMEOUT_MILLIS),
         (message, failure) -> {
           if (failure != null) {
             return noReply(coordinatorId, failure);
@@ -498,8 +412,4 @@
   private int instanceCount() {
     return blackboard.read(FleetView.ENTRY).instanceCount();
   }
-
-  private static long presencePeriodMillis(int instances) {
-    return PRESENCE_PERIOD_MILLIS + PRESENCE_PERIOD_MILLIS_PER_INSTANCE * instances;
-  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/LimitMessages.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/LimitMessages.java
@@ -48,7 +48,7 @@
 
   private LimitMessages() {}
 
-  static byte[] encode(Request request) {
+  static byte[] encodeRequest(Request request) {
     return MessageCodec.pack(
         packer -> {
           packer
@@ -75,7 +75,7 @@
     }
   }
 
-  static byte[] encode(Reply reply) {
+  static byte[] encodeReply(Reply reply) {
     return MessageCodec.pack(
         packer -> {
           packer
