Look up rate limits without reading a clock

Cause: every dispatch decision asked for each endpoint whether it has a limit, by a table with expiry, which read two clocks each time even when no endpoint has one; and each submission counted the requests ahead of it. Change: a set of the limited processes, purged once a period; the count is made only while limits exist. Result: a limit that is not named for ten minutes is forgotten (new test); EndpointLimitsTest, LimitedServiceTest, DispatcherTest green.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -262,7 +262,8 @@
       }
       request.markProbe();
     }
-    if (refuseIfNoneAccepts(request, queue.ahead(request), nowNanos)) {
+    int ahead = rateLimits.hasLimits() ? queue.ahead(request) : 0;
+    if (refuseIfNoneAccepts(request, ahead, nowNanos)) {
       return;
     }
     // Refusing early leaves the caller time to try elsewhere.
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
@@ -144,20 +144,21 @@
 
   @Override
   public boolean hasLimits() {
-    return !known.isEmpty(clock.nanoTime());
+    return known.hasLimits();
   }
 
   @Override
   public boolean isLimited(String processKey) {
-    return known.perSecond(processKey, clock.nanoTime()).isPresent();
+    return known.isLimited(processKey);
   }
 
   /** Records what an endpoint states in a response. */
   public void onNotice(Endpoint endpoint, RateLimitNotice notice) {
-    long nowNanos = clock.nanoTime();
-    if (notice.kind() == RateLimitNotice.Kind.UNLIMITED && known.isEmpty(nowNanos)) {
+    boolean saysNothingNew = notice.kind() != RateLimitNotice.Kind.LIMITED && !known.hasLimits();
+    if (saysNothingNew) {
       return;
     }
+    long nowNanos = clock.nanoTime();
     String processKey = endpoint.processKey();
     if (known.merge(processKey, new Statement(notice, nowNanos), selfId, nowNanos)) {
       callCoordinator(processKey);
@@ -294,6 +295,7 @@
     }
     contacts.keySet().retainAll(limited().keySet());
     coordinator.onPeriod();
+    known.removeExpired(nowNanos);
     scheduler.schedule(this::callCoordinators, periodMillis);
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
@@ -1,8 +1,10 @@
 package org.buckthornferry.fleet;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.buckthornferry.dispatch.RateLimitNotice;
 import org.buckthornferry.util.ExpiringTable;
@@ -28,6 +30,7 @@
   private static final long MIN_WITHDRAWAL_AGE_MILLIS = 250;
 
   private final ExpiringTable<Statement> statements = new ExpiringTable<>(MAX_PROCESSES);
+  private final Set<String> limitedKeys = new HashSet<>();
 
   /**
    * A statement of an endpoint.
@@ -46,9 +49,19 @@
     }
   }
 
-  /** Returns whether no statement about a limit is known, so that lookups can be skipped. */
-  boolean isEmpty(long nowNanos) {
-    return statements.isEmptyAt(nowNanos);
+  /** Returns whether any process has a limit. Cheap, like {@link #isLimited}. */
+  boolean hasLimits() {
+    return !limitedKeys.isEmpty();
+  }
+
+  /** Returns whether a process has a limit. Called for each endpoint at each decision. */
+  boolean isLimited(String processKey) {
+    return limitedKeys.contains(processKey);
+  }
+
+  /** Forgets the limits that have not been named for long. */
+  void removeExpired(long nowNanos) {
+    limitedKeys.removeIf(processKey -> statements.get(processKey, nowNanos).isEmpty());
   }
 
   Optional<Statement> get(String processKey, long nowNanos) {
@@ -87,10 +100,12 @@
       return false;
     }
     if (statement.isLimited()) {
+      limitedKeys.add(processKey);
       LOG.infof(
           "endpoint.limit_named endpoint=%s perSecond=%s before=%s heardFrom=%s",
           processKey, statement.notice.perSecond(), describe(before), source);
     } else {
+      limitedKeys.remove(processKey);
       LOG.infof(
           "endpoint.limit_withdrawn endpoint=%s before=%s heardFrom=%s",
           processKey, describe(before), source);
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointLimitsTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointLimitsTest.java
@@ -259,6 +259,18 @@
     assertThat(fleet.instances.get(3).isLimited()).isTrue();
   }
 
+  @Test
+  void aLimitThatIsNotNamedForTenMinutesIsForgotten() {
+    Fleet fleet = new Fleet(2, 0, 1);
+    fleet.instances.get(0).limits.onNotice(ENDPOINT, RateLimitNotice.limited(3));
+    fleet.run(590_000);
+    assertThat(fleet.instances.get(1).isLimited()).isTrue();
+    fleet.run(15_000);
+    for (Instance instance : fleet.instances) {
+      assertThat(instance.limits.hasLimits()).isFalse();
+    }
+  }
+
   @Test
   void anEndpointThatAcceptsNothingIsProbedWithinTheBound() {
     Fleet fleet = new Fleet(60, 100, 37);
