--- a/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.relay;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.buckthornferry.catalog.Customer;
@@ -20,6 +21,8 @@
  * @param expectedOutputTokens the caller's estimate of the output tokens; 0 if not stated
  * @param totalTokens the tokens charged to the customer's rate limit; negative if not stated
  * @param promptPrefix the prompt prefix that other requests may share
+ * @param promptPartIds the ids of all parts of the prompt, in order; the last part belongs to this
+ *     request or its session alone
  * @param lastEventId the id of the event after which the stream resumes
  */
 @SuppressWarnings("ArrayRecordComponent") // The body is passed on and never modified.
@@ -37,8 +40,14 @@
     long expectedOutputTokens,
     long totalTokens,
     PromptPrefix promptPrefix,
+    List<String> promptPartIds,
     Optional<String> lastEventId) {
 
+  /** Copies the part ids. */
+  public CallerRequest {
+    promptPartIds = List.copyOf(promptPartIds);
+  }
+
   /** Returns the path without the query. */
   public String path() {
     int query = uri.indexOf('?');
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -413,7 +413,7 @@
     mayHaveRun |= !wasNotRun;
     LOG.infof(
         "attempt.failed id=%s endpoint=%s kind=%s notRun=%s detail=\"%s\" repeats=%s events=%d"
-            + " elapsedMillis=%d content=%s",
+            + " elapsedMillis=%d content=%s parts=%s",
         request.requestId(),
         failed.placement.endpoint().id(),
         kind,
@@ -422,7 +422,8 @@
         willRetry,
         failed.events,
         elapsedMillis(),
-        request.contentHash(customer));
+        request.contentHash(customer),
+        String.join("/", request.promptPartIds()));
     if (willRetry) {
       environment.metrics().retried.inc();
       if (headForwarded) {
