Refuse requests with a part of the prompt that crashes endpoints, on all instances

Callers saw: requests of one class crashed one endpoint after the other, and what ran there broke off. Cause: crashes were remembered by the hash of the whole content, and no two of these requests are alike.

Each instance now reports a crash, with the shared parts of the requests that had not been answered for a second, to two evaluators. A part without any answer after its crashes, under three processes, different contents and two occasions, is blamed; crashes that it explains do not count against what was served beside it. Before a blame the evaluator asks all instances for answers to the part and for signs of life of the processes. An answer clears it everywhere; one trial of all instances ends a coincidence. Logs part.*, metrics relay.parts.*.

PartQuarantineTest plays 1 to 300 instances, failures of evaluators and the store. Leases of quarantine entries and the addresses of instances have one copy each.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentQuarantine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/ContentQuarantine.java
@@ -47,12 +47,6 @@
   /** How long crashes are kept, in milliseconds; the longest time to live of a lease. */
   static final long RETENTION_MILLIS = 600_000;
 
-  /**
-   * Maximum age of a lease for new entries, in milliseconds, so that they last at least as long
-   * again.
-   */
-  private static final long LEASE_REUSE_MILLIS = RETENTION_MILLIS / 2;
-
   /** Maximum number of contents kept; about 200 bytes each. */
   private static final int MAX_CONTENTS = 2_000;
 
@@ -76,13 +70,12 @@
   private final Scheduler scheduler;
   private final MonotonicClock clock;
   private final LongSupplier epochMillis;
+  private final RetentionLease lease;
   private final ExpiringTable<ContentCrashes> recentCrashes = new ExpiringTable<>(MAX_CONTENTS);
   private final Map<String, StoredEntry> storedEntries = new HashMap<>();
   private final Set<String> listedHashes = new HashSet<>();
   private final Set<String> pendingWrites = new HashSet<>();
   private Map<String, InetSocketAddress> ownerCandidates = Map.of();
-  private OptionalLong leaseId = OptionalLong.empty();
-  private long leaseGrantedNanos;
 
   private record StoredEntry(long revision, ContentCrashes crashes) {}
 
@@ -104,6 +97,7 @@
     this.scheduler = scheduler;
     this.clock = clock;
     this.epochMillis = epochMillis;
+    this.lease = new RetentionLease(store, clock, RETENTION_MILLIS);
     view.subscribe(this);
   }
 
@@ -295,14 +289,15 @@
       return;
     }
     CompletableFuture<Long> written =
-        lease()
+        lease
+            .current()
             .thenCompose(
-                lease ->
+                leaseId ->
                     store.apply(
                         StoreTransaction.put(
                                 PREFIX + contentHash,
                                 ContentMessages.encode(contentHash, crashes),
-                                OptionalLong.of(lease))
+                                OptionalLong.of(leaseId))
                             .onlyIf(PREFIX + contentHash, known == null ? 0 : known.revision)));
     Completions.onComplete(
         written,
@@ -315,7 +310,7 @@
           }
           Kind reason = StoreException.kindOf(failure);
           if (reason == Kind.LEASE_EXPIRED) {
-            leaseId = OptionalLong.empty();
+            lease.onExpired();
           }
           // After a conflict, the watch will deliver the entry that another instance wrote.
           long nextMillis =
@@ -346,19 +341,4 @@
           }
         });
   }
-
-  private CompletableFuture<Long> lease() {
-    long ageNanos = clock.nanoTime() - leaseGrantedNanos;
-    if (leaseId.isPresent() && TimeUnit.NANOSECONDS.toMillis(ageNanos) < LEASE_REUSE_MILLIS) {
-      return CompletableFuture.completedFuture(leaseId.getAsLong());
-    }
-    return store
-        .grantLease(RETENTION_MILLIS)
-        .thenApply(
-            granted -> {
-              leaseId = OptionalLong.of(granted);
-              leaseGrantedNanos = clock.nanoTime();
-              return granted;
-            });
-  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
@@ -390,13 +390,7 @@
 
   /** Returns the instances that may coordinate, with their addresses. */
   private Map<String, InetSocketAddress> candidates() {
-    FleetView fleet = blackboard.read(FleetView.ENTRY);
-    if (fleet.lapsed().isEmpty()) {
-      return fleet.listed();
-    }
-    Map<String, InetSocketAddress> candidates = new HashMap<>(fleet.lapsed());
-    candidates.putAll(fleet.listed());
-    return candidates;
+    return blackboard.read(FleetView.ENTRY).addresses();
   }
 
   private Map<String, Double> limited() {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -55,6 +56,16 @@
     return List.copyOf(ids);
   }
 
+  /** Returns the peer addresses of all instances that may be running. */
+  public Map<String, InetSocketAddress> addresses() {
+    if (lapsed.isEmpty()) {
+      return listed;
+    }
+    Map<String, InetSocketAddress> addresses = new HashMap<>(lapsed);
+    addresses.putAll(listed);
+    return addresses;
+  }
+
   /** Returns the number of instances that share a fleet-wide bound. */
   public int instanceCount() {
     return listed.isEmpty() ? ASSUMED_INSTANCES : listed.size() + lapsed.size();
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -15,7 +15,9 @@
   /** Reports an instance's counts of a rollout to another version. */
   MOVE(5),
   /** Asks for a permit of an endpoint with a rate limit, or tells what is known of the limit. */
-  LIMIT(6);
+  LIMIT(6),
+  /** Reports crashes, answers and findings about parts of prompts that crash endpoints. */
+  PARTS(7);
 
   private final byte code;
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/SharedAllowances.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/SharedAllowances.java
@@ -179,7 +179,7 @@
     }
     localAllowances.keySet().retainAll(names);
     fallbackAllowances.keySet().retainAll(names);
-    unresponsive.retainAll(knownInstances(blackboard.read(FleetView.ENTRY)).keySet());
+    unresponsive.retainAll(blackboard.read(FleetView.ENTRY).addresses().keySet());
   }
 
   /**
@@ -190,7 +190,7 @@
     if (fleet.lapsed().isEmpty()) {
       return fleet.listed();
     }
-    Map<String, InetSocketAddress> candidates = knownInstances(fleet);
+    Map<String, InetSocketAddress> candidates = new HashMap<>(fleet.addresses());
     fleet
         .lapsed()
         .keySet()
@@ -203,12 +203,6 @@
     return candidates;
   }
 
-  private static Map<String, InetSocketAddress> knownInstances(FleetView fleet) {
-    Map<String, InetSocketAddress> known = new HashMap<>(fleet.lapsed());
-    known.putAll(fleet.listed());
-    return known;
-  }
-
   /**
    * Checks both candidate sets, because others may already have dropped a lapsed instance that this
    * one has not called yet.
@@ -285,7 +279,7 @@
       ownedAllowance(customer).refund(cost, clock.nanoTime());
       return;
     }
-    InetSocketAddress address = knownInstances(blackboard.read(FleetView.ENTRY)).get(ownerId);
+    InetSocketAddress address = blackboard.read(FleetView.ENTRY).addresses().get(ownerId);
     if (address == null || unresponsive.isInBackoff(ownerId)) {
       LOG.infof("allowance.not_returned customer=%s owner=%s", customer.name(), ownerId);
       return;
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
@@ -223,6 +224,16 @@
             });
   }
 
+  /**
+   * Returns whether the header fields of a response delimit its body, so that the end of the
+   * connection is not the end of the body.
+   */
+  public static boolean statesLength(HttpHeaders headers) {
+    return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        || headers.containsValue(
+            HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, /* ignoreCase= */ true);
+  }
+
   private Channel takeIdle(InetSocketAddress address, Reuse reuse) {
     ConcurrentLinkedDeque<IdleChannel> channels = idle.get(address);
     if (channels == null || reuse == Reuse.NONE) {
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -33,6 +33,7 @@
 import org.buckthornferry.fleet.FleetView;
 import org.buckthornferry.fleet.InstanceRegistry;
 import org.buckthornferry.fleet.OperatingBounds;
+import org.buckthornferry.fleet.PartQuarantine;
 import org.buckthornferry.fleet.PeerMessageKind;
 import org.buckthornferry.fleet.PeerRpc;
 import org.buckthornferry.fleet.ReaderWatch;
@@ -136,6 +137,17 @@
             MonotonicClock.SYSTEM,
             System::currentTimeMillis);
     peers.addHandler(PeerMessageKind.CRASHES, quarantine::answer);
+    PartQuarantine partQuarantine =
+        new PartQuarantine(
+            sharedStore,
+            storeView,
+            blackboard,
+            peers,
+            settings.instanceId(),
+            scheduler,
+            viewClock,
+            registry);
+    peers.addHandler(PeerMessageKind.PARTS, partQuarantine::answer);
     this.rollouts =
         new RolloutCoordinator(
             sharedStore,
@@ -161,6 +173,7 @@
             blackboard,
             allowances,
             quarantine,
+            partQuarantine,
             rollouts,
             limits,
             connector,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/CallerRequest.java
@@ -54,6 +54,11 @@
     return query < 0 ? uri : uri.substring(0, query);
   }
 
+  /** Returns the ids of the parts of the prompt that other requests may share. */
+  List<String> sharedPartIds() {
+    return promptPartIds.subList(0, Math.max(0, promptPartIds.size() - 1));
+  }
+
   /**
    * Returns the hash of customer, method, URI and body in hexadecimal. It does not cover the
    * request id, so that all attempts of a caller at the same request have the same hash.
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -24,6 +24,7 @@
 import org.buckthornferry.fleet.EndpointLimits;
 import org.buckthornferry.fleet.EndpointList;
 import org.buckthornferry.fleet.FleetView;
+import org.buckthornferry.fleet.PartQuarantine;
 import org.buckthornferry.fleet.RolloutCoordinator;
 import org.buckthornferry.fleet.SharedAllowances;
 import org.buckthornferry.fleet.SharedAllowances.Decision;
@@ -88,6 +89,7 @@
       Blackboard blackboard,
       SharedAllowances allowances,
       ContentQuarantine quarantine,
+      PartQuarantine partQuarantine,
       RolloutCoordinator rollouts,
       EndpointLimits limits,
       HttpConnector connector,
@@ -104,6 +106,7 @@
             blackboard,
             connector,
             quarantine,
+            partQuarantine,
             rollouts,
             limits,
             callers,
@@ -150,6 +153,7 @@
     maxBudgetMillisByRoute.keySet().retainAll(catalog.routeNames());
     allowances.refresh();
     environment.quarantine().refresh();
+    environment.partQuarantine().refresh();
     environment.limits().refresh();
   }
 
@@ -202,7 +206,11 @@
                     new RequestException(
                         ErrorKind.UNKNOWN_ROUTE, "no route in version " + catalog.version()));
     Optional<Customer> customer = customer(catalog, route, request);
-    rejectQuarantined(request, customer);
+    Optional<RequestException> quarantined =
+        quarantinedContent(environment.quarantine(), request, customer);
+    if (quarantined.isPresent()) {
+      throw quarantined.get();
+    }
     String serviceName = route.chooseService(random.nextDouble());
     ServiceQueue queue = queues.get(serviceName);
     if (queue == null) {
@@ -212,35 +220,72 @@
           NOT_READY_RETRY_AFTER_MILLIS);
     }
     CheckedRequest checked =
-        new CheckedRequest(exchange, request, route, queue, customer, nowNanos);
-    if (customer.isEmpty()) {
+        new CheckedRequest(exchange, request, route, queue, customer, nowNanos, false);
+    Optional<PartQuarantine.Refusal> refusal =
+        environment.partQuarantine().refusal(request.sharedPartIds());
+    if (refusal.isEmpty()) {
+      relayWithAllowance(checked);
+      return;
+    }
+    inProgress++;
+    Completions.onComplete(
+        environment.partQuarantine().requestTrial(refusal.get()),
+        (isTrial, failure) -> {
+          inProgress--;
+          if (failure == null && isTrial) {
+            relayWithAllowance(checked.asTrial());
+          } else {
+            reject(exchange, request.requestId(), quarantined(refusal.get()));
+          }
+        });
+  }
+
+  static RequestException quarantined(PartQuarantine.Refusal refusal) {
+    return new RequestException(
+        ErrorKind.QUARANTINED, "parts " + refusal.parts(), refusal.remainingMillis());
+  }
+
+  private void relayWithAllowance(CheckedRequest checked) {
+    if (checked.customer.isEmpty()) {
       relay(checked, wasSent -> {});
       return;
     }
     inProgress++;
-    acquireAllowance(checked, customer.get());
+    acquireAllowance(checked, checked.customer.get());
   }
 
-  private void rejectQuarantined(CallerRequest request, Optional<Customer> customer) {
-    ContentQuarantine quarantine = environment.quarantine();
+  /** Returns why a request is to be refused if its content crashes endpoints. */
+  static Optional<RequestException> quarantinedContent(
+      ContentQuarantine quarantine, CallerRequest request, Optional<Customer> customer) {
     if (quarantine.isEmpty()) {
-      return;
+      return Optional.empty();
     }
     String hash = request.contentHash(customer);
-    if (quarantine.verdict(hash) == Verdict.QUARANTINED) {
-      throw new RequestException(
-          ErrorKind.QUARANTINED, "content " + hash, quarantine.remainingMillis(hash));
+    if (quarantine.verdict(hash) != Verdict.QUARANTINED) {
+      return Optional.empty();
     }
+    return Optional.of(
+        new RequestException(
+            ErrorKind.QUARANTINED, "content " + hash, quarantine.remainingMillis(hash)));
   }
 
-  /** A request that has passed the route, customer key and quarantine checks. */
+  /**
+   * A request that has passed the route, customer key and quarantine checks.
+   *
+   * @param isTrial whether it is sent although its parts are quarantined, as the only one
+   */
   private record CheckedRequest(
       HttpExchange exchange,
       CallerRequest request,
       Route route,
       ServiceQueue queue,
       Optional<Customer> customer,
-      long arrivalNanos) {}
+      long arrivalNanos,
+      boolean isTrial) {
+    private CheckedRequest asTrial() {
+      return new CheckedRequest(exchange, request, route, queue, customer, arrivalNanos, true);
+    }
+  }
 
   private void acquireAllowance(CheckedRequest checked, Customer customer) {
     double cost = customer.rateLimit().cost(checked.request.totalTokens());
@@ -322,6 +367,7 @@
             checked.customer,
             checked.arrivalNanos,
             priorWaitMillis(route, request),
+            checked.isTrial,
             wasSent -> {
               inProgress--;
               onEnded.accept(wasSent);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -3,6 +3,7 @@
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.fleet.EndpointLimits;
+import org.buckthornferry.fleet.PartQuarantine;
 import org.buckthornferry.fleet.RolloutCoordinator;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.util.MonotonicClock;
@@ -13,6 +14,7 @@
     Blackboard blackboard,
     HttpConnector connector,
     ContentQuarantine quarantine,
+    PartQuarantine partQuarantine,
     RolloutCoordinator rollouts,
     EndpointLimits limits,
     CallerProtocol callers,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -13,10 +13,8 @@
 import org.buckthornferry.dispatch.Priority;
 import org.buckthornferry.dispatch.RequestSize;
 import org.buckthornferry.dispatch.WaitingRequest;
-import org.buckthornferry.endpoint.Verdict;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
-import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.http.HttpCall;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
@@ -60,6 +58,12 @@
   /** The minimum timeout between two events; covers a preempted run. */
   private static final long MIN_EVENT_GAP_TIMEOUT_MILLIS = 1_000;
 
+  /**
+   * Time after which an endpoint that has begun to answer has survived it, in milliseconds. Parts
+   * that crash endpoints do so with the first tokens.
+   */
+  private static final long SURVIVAL_MILLIS = 1_000;
+
   /** Prompt tokens whose prefill takes an engine about as long as generating one event. */
   private static final double PROMPT_TOKENS_PER_WORK_UNIT = 1_000;
 
@@ -71,6 +75,7 @@
   private final Optional<Customer> customer;
   private final long arrivalNanos;
   private final long deadlineNanos;
+  private final boolean isTrial;
   private final Consumer<Boolean> onEnded;
   private final WaitingRequest waiting;
   private Phase phase = Phase.WAITING;
@@ -105,6 +110,7 @@
       Optional<Customer> customer,
       long arrivalNanos,
       long priorWaitMillis,
+      boolean isTrial,
       Consumer<Boolean> onEnded) {
     this.environment = environment;
     this.queue = queue;
@@ -113,6 +119,7 @@
     this.route = route;
     this.customer = customer;
     this.arrivalNanos = arrivalNanos;
+    this.isTrial = isTrial;
     this.onEnded = onEnded;
     this.lastEventId = request.lastEventId();
     long limitMillis =
@@ -236,6 +243,7 @@
             onReservation(placement, Optional.empty(), String.valueOf(failure.getMessage()));
             return;
           }
+          environment.partQuarantine().onResponse(placement.endpoint());
           queue.onAvailability(
               placement.endpoint(), protocol.decodeAvailability(reply.status(), reply.headers()));
           onReservation(placement, Optional.of(protocol.decodeReservation(reply)), "");
@@ -350,13 +358,12 @@
       queue.onAttemptEnded(placement, placement.needsGrant(), AttemptOutcome.CANCELLED);
       return;
     }
-    if (isQuarantined()) {
+    Optional<RequestException> quarantined = quarantined();
+    if (quarantined.isPresent()) {
       reservationId.ifPresent(id -> release(placement, id));
       queue.onAttemptEnded(placement, placement.needsGrant(), AttemptOutcome.CANCELLED);
-      onRefused(
-          ErrorKind.QUARANTINED,
-          "content " + request.contentHash(customer),
-          environment.quarantine().remainingMillis(request.contentHash(customer)));
+      RequestException reason = quarantined.get();
+      onRefused(reason.kind(), reason.getMessage(), reason.retryAfterMillis());
       return;
     }
     phase = headForwarded ? Phase.ANSWERING : Phase.SENT;
@@ -390,10 +397,15 @@
                     lastEventId)));
   }
 
-  private boolean isQuarantined() {
-    ContentQuarantine quarantine = environment.quarantine();
-    return !quarantine.isEmpty()
-        && quarantine.verdict(request.contentHash(customer)) == Verdict.QUARANTINED;
+  /** Returns why the request must not be sent: its content or parts of it crash endpoints. */
+  private Optional<RequestException> quarantined() {
+    Optional<RequestException> byContent =
+        Relay.quarantinedContent(environment.quarantine(), request, customer);
+    boolean isFirstOfTrial = isTrial && attempts == 0;
+    if (byContent.isPresent() || isFirstOfTrial) {
+      return byContent;
+    }
+    return environment.partQuarantine().refusal(request.sharedPartIds()).map(Relay::quarantined);
   }
 
   /** Retries at another endpoint if limits and budget allow it, else responds with the failure. */
@@ -550,8 +562,11 @@
     private ResponseHead head;
     private Scheduler.Task stallTask = Scheduler.Task.NONE;
     private long lastProgressNanos = sentNanos;
+    private long headNanos;
     private long firstEventNanos;
     private int events;
+    private boolean isFramed;
+    private boolean isSurvivalReported;
     private boolean hasEnded;
 
     private Attempt(Placement placement) {
@@ -674,7 +689,10 @@
     @Override
     public void onHead(int status, HttpHeaders headers) {
       head = environment.endpoints().decodeResponseHead(status, headers);
+      headNanos = environment.clock().nanoTime();
+      isFramed = HttpConnector.statesLength(headers);
       if (!head.isMisdirected()) {
+        environment.partQuarantine().onResponse(placement.endpoint());
         queue.onAvailability(
             placement.endpoint(), environment.endpoints().decodeAvailability(status, headers));
       }
@@ -736,6 +754,9 @@
       }
       lastProgressNanos = environment.clock().nanoTime();
       events++;
+      if (!isSurvivalReported && hasSurvived()) {
+        reportPartsAnswered();
+      }
       Optional<String> id = EventId.of(event);
       boolean isDuplicate =
           id.isPresent()
@@ -777,6 +798,9 @@
     private void onStreamEnd() {
       if (splitter.hasPartialEvent() || events == 0) {
         close(AttemptOutcome.BROKEN);
+        if (!isFramed) {
+          reportCrash();
+        }
         retryOrFail(this, false, ErrorKind.TRUNCATED_ANSWER, "the stream ended within an event");
         return;
       }
@@ -833,7 +857,50 @@
       }
     }
 
+    private boolean hasSurvived() {
+      return events > 1
+          && environment.clock().nanoTime() - firstEventNanos
+              >= TimeUnit.MILLISECONDS.toNanos(SURVIVAL_MILLIS);
+    }
+
+    private void reportPartsAnswered() {
+      isSurvivalReported = true;
+      environment.partQuarantine().onAnswered(request.sharedPartIds(), sinceMillis(beginNanos()));
+    }
+
+    private long beginNanos() {
+      return events > 0 ? firstEventNanos : headNanos;
+    }
+
+    private long sinceMillis(long nanos) {
+      return TimeUnit.NANOSECONDS.toMillis(environment.clock().nanoTime() - nanos);
+    }
+
+    /**
+     * Reports that the connection broke under this request, so that it may have crashed the
+     * endpoint.
+     */
+    private void reportCrash() {
+      String contentHash = request.contentHash(customer);
+      environment.quarantine().onCrash(contentHash, placement.endpoint(), sinceMillis(sentNanos));
+      if (!hasSurvived()) {
+        environment
+            .partQuarantine()
+            .onBroken(
+                placement.endpoint(), contentHash, request.sharedPartIds(), sinceMillis(sentNanos));
+      }
+    }
+
     private void reportContentServed() {
+      if (isFramed) {
+        reportPartsAnswered();
+      } else {
+        // The end of the connection may be a crash.
+        environment
+            .partQuarantine()
+            .onAnsweredUnlessCrashed(
+                placement.endpoint(), request.sharedPartIds(), sinceMillis(beginNanos()));
+      }
       if (!environment.quarantine().isEmpty()) {
         environment.quarantine().onServed(request.contentHash(customer));
       }
@@ -846,12 +913,7 @@
       }
       close(mayHaveReachedServer ? AttemptOutcome.BROKEN : AttemptOutcome.UNREACHABLE);
       if (mayHaveReachedServer) {
-        environment
-            .quarantine()
-            .onCrash(
-                request.contentHash(customer),
-                placement.endpoint(),
-                TimeUnit.NANOSECONDS.toMillis(environment.clock().nanoTime() - sentNanos));
+        reportCrash();
       }
       if (phase == Phase.ENDED) {
         return;
