Do not forward a failure or a second body within a response that has begun

Callers could get the text of an error within their stream, or a stream that ended as if it were complete: a stream began at the second endpoint after the first had answered 500, and when it broke off, the stored 500 was written into it and ended it. A failure of more than 1 MiB was forwarded into a stream as it came. Same class: a plain response of more than 1 MiB that broke off after its first part was followed by the whole body of another attempt.

Cause: what may be forwarded was decided by each attempt, without regard to what another one had forwarded. A stored failure is now only a response of its own, an attempt forwards a body only if its own head was forwarded, and a plain response that has begun is not repeated.

--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -177,7 +177,7 @@
 
   @Override
   public void onRefused(ErrorKind reason, String detail, long retryAfterMillis) {
-    if (failedResponse.isPresent()) {
+    if (failedResponse.isPresent() && !headForwarded) {
       // No endpoint is available for a retry, so the error response of the first one is final.
       respond(failedResponse.get());
     } else if (mayHaveRun) {
@@ -408,11 +408,17 @@
     return environment.partQuarantine().refusal(request.sharedPartIds()).map(Relay::quarantined);
   }
 
+  /** Returns whether another attempt can go on where the part that was forwarded ends. */
+  private boolean canContinueElsewhere() {
+    return route.isStream() || !headForwarded;
+  }
+
   /** Retries at another endpoint if limits and budget allow it, else responds with the failure. */
   private void retryOrFail(Attempt failed, boolean wasNotRun, ErrorKind kind, String detail) {
     waiting.exclude(failed.placement.endpoint().id());
     boolean willRetry =
         (wasNotRun || route.isRetryable())
+            && canContinueElsewhere()
             && attempts < route.maxAttempts()
             && queue.endpointCount() > 1
             && remainingMillis() > MIN_ATTEMPT_MILLIS
@@ -445,7 +451,7 @@
       waiting.markSent();
       phase = Phase.WAITING;
       queue.submit(waiting);
-    } else if (failedResponse.isPresent()) {
+    } else if (failedResponse.isPresent() && !headForwarded) {
       respond(failedResponse.get());
     } else {
       // The last endpoint did not run the request, but an earlier one may have.
@@ -566,6 +572,7 @@
     private long firstEventNanos;
     private int events;
     private boolean isFramed;
+    private boolean isForwarding;
     private boolean isSurvivalReported;
     private boolean hasEnded;
 
@@ -621,6 +628,7 @@
         return;
       }
       if (attempts >= route.maxAttempts()
+          || !canContinueElsewhere()
           || queue.endpointCount() < 2
           || !queue.tryAcquireRetry()) {
         // The endpoint may still recover, and the budget may permit a retry later.
@@ -723,7 +731,8 @@
     }
 
     private void forwardBuffered() {
-      if (!headForwarded && !(head.isSigned() && head.isSuccess())) {
+      boolean isOfOtherAttempt = headForwarded && !isForwarding;
+      if (isOfOtherAttempt || !(head.isSigned() && head.isSuccess())) {
         cancel(AttemptOutcome.BROKEN);
         retryOrFail(this, false, ErrorKind.TRUNCATED_ANSWER, "a failure with a large body");
         return;
@@ -737,6 +746,7 @@
     private void forwardHead() {
       if (!headForwarded) {
         headForwarded = true;
+        isForwarding = true;
         phase = Phase.ANSWERING;
         exchange.start(head.status(), head.forwardedHeaders());
       }
