Take only responses with the id of the request for responses to it

An endpoint that wrote an earlier refusal once more on a kept connection made the next request fail as not run, though the endpoint ran it, if the refusal had no request id, as those of reservations. It was then sent to a second endpoint, or its caller was told to try again. A response without an id was taken for any request. Endpoints repeat the id, so a response without one is now skipped, unless the request has none either. An id cannot be the same as that of an earlier refusal on the connection: an endpoint that refused a request is excluded from its further attempts.

--- a/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointProtocol.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointProtocol.java
@@ -12,7 +12,10 @@
   /** Returns the header fields of a request to an endpoint. */
   HttpHeaders requestHeaders(Dispatch dispatch);
 
-  /** Returns whether a response belongs to a request; a response without a request id does. */
+  /**
+   * Returns whether a response belongs to a request. One without a request id belongs to a control
+   * request, or to a request that had none.
+   */
   boolean isResponseTo(String requestId, HttpHeaders headers);
 
   /** Returns whether a response belongs to a control request; those have no request id. */
