--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
@@ -392,6 +392,13 @@
         test.instances.remove(evaluator);
       }
     },
+    BOTH_EVALUATORS_KILLED {
+      @Override
+      void inject(PartQuarantineTest test) {
+        EVALUATOR_KILLED.inject(test);
+        EVALUATOR_KILLED.inject(test);
+      }
+    },
     EVALUATOR_SUSPENDED {
       @Override
       void inject(PartQuarantineTest test) {
