Blame a part alone once it crashes endpoints without the parts that came with it

A part whose first requests all had another unanswered part was blamed together with it. The crashes of each part blamed together are now compared, and the ones with more are blamed alone.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PartAnalysis.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PartAnalysis.java
@@ -56,6 +56,14 @@
     List<PartBlame> blames = new ArrayList<>();
     for (PartBlame blame : known) {
       List<String> parts = blame.remainingParts(soundParts);
+      if (parts.size() > 1) {
+        refined(parts, crashes)
+            .ifPresent(
+                refined -> {
+                  blames.add(refined);
+                  explain(refined.partIds(), unexplained);
+                });
+      }
       if (!parts.isEmpty()) {
         explain(parts, unexplained).ifPresent(more -> blames.add(blame.union(more)));
       }
@@ -69,19 +77,27 @@
     return blames;
   }
 
-  /** Removes the crashes that requests with the given parts explain, and returns the evidence. */
-  private static Optional<PartBlame> explain(List<String> partIds, List<Crash> unexplained) {
-    Evidence evidence = new Evidence();
-    for (Crash crash : unexplained) {
-      evidence.add(crash, request -> request.partIds().containsAll(partIds));
-    }
-    unexplained.removeAll(evidence.crashes);
-    return evidence.crashes.isEmpty() ? Optional.empty() : Optional.of(evidence.blame(partIds));
+  /**
+   * Returns a finding of fewer parts if some of those blamed together have crashed endpoints
+   * without the others.
+   */
+  private Optional<PartBlame> refined(List<String> partIds, Collection<Crash> crashes) {
+    Map<String, Evidence> byPart = evidenceByPart(crashes);
+    byPart.keySet().retainAll(partIds);
+    int most = byPart.values().stream().mapToInt(Evidence::processes).max().orElse(0);
+    List<String> strongest =
+        partIds.stream()
+            .filter(id -> byPart.containsKey(id) && byPart.get(id).processes() == most)
+            .toList();
+    return strongest.isEmpty() || strongest.size() == partIds.size()
+        ? Optional.empty()
+        : Optional.of(byPart.get(strongest.get(0)).blame(strongest));
   }
 
-  private Optional<PartBlame> strongest(List<Crash> unexplained) {
+  /** Returns for each part the crashes since its last answer under requests with it. */
+  private Map<String, Evidence> evidenceByPart(Collection<Crash> crashes) {
     Map<String, Evidence> byPart = new HashMap<>();
-    for (Crash crash : unexplained) {
+    for (Crash crash : crashes) {
       Set<String> partIds = new HashSet<>();
       crash.requests().forEach(request -> partIds.addAll(request.partIds()));
       for (String partId : soundParts.withoutAnswerSince(partIds, crash.endedNanos())) {
@@ -90,6 +106,21 @@
             .add(crash, request -> request.partIds().contains(partId));
       }
     }
+    return byPart;
+  }
+
+  /** Removes the crashes that requests with the given parts explain, and returns the evidence. */
+  private static Optional<PartBlame> explain(List<String> partIds, List<Crash> unexplained) {
+    Evidence evidence = new Evidence();
+    for (Crash crash : unexplained) {
+      evidence.add(crash, request -> request.partIds().containsAll(partIds));
+    }
+    unexplained.removeAll(evidence.crashes);
+    return evidence.crashes.isEmpty() ? Optional.empty() : Optional.of(evidence.blame(partIds));
+  }
+
+  private Optional<PartBlame> strongest(List<Crash> unexplained) {
+    Map<String, Evidence> byPart = evidenceByPart(unexplained);
     List<Map.Entry<String, Evidence>> ranked =
         byPart.entrySet().stream()
             .filter(entry -> suffices(entry.getKey(), entry.getValue()))
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
@@ -247,6 +247,27 @@
     }
   }
 
+  /** Guards against findings that hold on to the parts that came with the culprit at first. */
+  @Test
+  void refusesThePartWhenItComesWithOtherPartsThanBefore() {
+    startAll(8);
+    Culprit first = new Culprit("root", "rare", "dead");
+    for (int i = 0; i < 10; i++) {
+      serve("root", "fine");
+      first.send();
+      time.advance(300);
+    }
+    time.advance(CONTACT_MILLIS);
+    Culprit later = new Culprit("root", "other", "dead");
+    for (int i = 0; i < 30; i++) {
+      serve("root", "fine");
+      later.send();
+      time.advance(500);
+    }
+    assertThat(later.sentMillis.size()).isAtMost(MAX_LATE_REQUESTS);
+    assertServed("root", "other");
+  }
+
   @Test
   void anAnswerClearsABlamedPartOnAllInstances() {
     startAll(8);
