Report and evaluate crashes of parts in batches

The failure of many endpoints cost each instance a message for each of them, with all that it had observed, and an evaluation for each message. Reports and evaluations are now collected for 50 ms and bounded to the latest 64 crashes. theFailureOfManyEndpointsCostsFewMessages failed before (390 messages, 360 permitted).

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PartQuarantine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PartQuarantine.java
@@ -79,6 +79,14 @@
   /** Responses within this time of the crash, in milliseconds, were sent before it. */
   private static final long IN_FLIGHT_MILLIS = 100;
 
+  /**
+   * Time for which crashes are collected before they are reported or evaluated, in milliseconds.
+   */
+  private static final long BATCH_MILLIS = 50;
+
+  /** Maximum number of crashes in a report; after a failure of many endpoints the latest ones. */
+  private static final int MAX_REPORTED_CRASHES = 64;
+
   /** Age up to which own crashes are reported again with the next one, in milliseconds. */
   private static final long REPEAT_REPORT_MILLIS = 30_000;
 
@@ -126,6 +134,8 @@
   private final Set<String> pendingWrites = new HashSet<>();
   private List<String> knownEvaluators = List.of();
   private Scheduler.Task settleTask = Scheduler.Task.NONE;
+  private boolean isReportScheduled;
+  private boolean isEvaluationScheduled;
   private final Counter crashCount;
   private final Counter dismissedCount;
   private final Counter blamedCount;
@@ -347,7 +357,15 @@
     crashCount.inc();
     LOG.infof("part.crash process=%s requests=%s", processKey, describe(requests));
     ownCrashes.add(crash);
-    report(EVALUATORS, Set.of());
+    if (!isReportScheduled) {
+      isReportScheduled = true;
+      scheduler.schedule(
+          () -> {
+            isReportScheduled = false;
+            report(EVALUATORS, Set.of());
+          },
+          BATCH_MILLIS);
+    }
   }
 
   private boolean respondedAfter(Crash crash) {
@@ -386,17 +404,20 @@
         continue;
       }
       remaining--;
-      List<Crash> crashes = ownCrashes.since(ago(RETENTION_MILLIS));
-      crashes.removeIf(crash -> crash.endedNanos() - ago(REPEAT_REPORT_MILLIS) < 0);
-      reportTo(evaluatorId, crashes, () -> report(1, told));
+      reportTo(evaluatorId, latestOwnCrashes(), () -> report(1, told));
     }
   }
 
+  private List<Crash> latestOwnCrashes() {
+    List<Crash> crashes = ownCrashes.since(ago(RETENTION_MILLIS));
+    crashes.removeIf(crash -> crash.endedNanos() - ago(REPEAT_REPORT_MILLIS) < 0);
+    return crashes.subList(Math.max(0, crashes.size() - MAX_REPORTED_CRASHES), crashes.size());
+  }
+
   private void reportTo(String evaluatorId, Collection<Crash> crashes, Runnable onNoReply) {
     if (evaluatorId.equals(selfId)) {
       addCrashes(crashes);
-      evaluate();
-      scheduleEvaluation();
+      evaluateSoon();
       return;
     }
     PartMessage message =
@@ -480,8 +501,7 @@
     if (!message.crashes().isEmpty()) {
       addCrashes(message.crashes());
       reply = reply.withBlames(blames());
-      evaluate();
-      scheduleEvaluation();
+      evaluateSoon();
     }
     if (!message.trialKey().isEmpty() && grantTrial(message.trialKey())) {
       reply = reply.withTrial(message.trialKey());
@@ -528,8 +548,20 @@
     }
   }
 
-  /** Evaluates again when the parts have had time to be answered since the last report. */
-  private void scheduleEvaluation() {
+  /**
+   * Evaluates once for all reports of a short time, and again when the parts have had time to be
+   * answered since the last one.
+   */
+  private void evaluateSoon() {
+    if (!isEvaluationScheduled) {
+      isEvaluationScheduled = true;
+      scheduler.schedule(
+          () -> {
+            isEvaluationScheduled = false;
+            evaluate();
+          },
+          BATCH_MILLIS);
+    }
     settleTask.cancel();
     settleTask =
         scheduler.schedule(
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
@@ -390,6 +390,43 @@
     }
   }
 
+  @Test
+  void theFailureOfManyEndpointsCostsFewMessages() {
+    startAll(60);
+    int before = messages();
+    for (int process = 0; process < 100; process++) {
+      crash(List.of(request("root", "doc" + process), request("root", "doc" + process)));
+    }
+    time.advance(2_000);
+    // A report to each evaluator from each instance, and questions to all instances about the root.
+    assertThat(messages() - before).isAtMost(60 * 2 + 60 * 4);
+    assertServed("root", "doc1");
+  }
+
+  @Test
+  void instancesThatWereSuspendedOrCutOffRefuseThePartWhenTheyAreBack() {
+    startAll(8);
+    Instance suspended = instances.remove(7);
+    Instance cutOff = instances.remove(6);
+    suspended.process.suspend();
+    cutOff.process.cutFromStore(true);
+    cutOff.process.cutFromOthers(true);
+    Culprit culprit = new Culprit("root", "dead");
+    for (int i = 0; i < 20; i++) {
+      serve("root", "fine");
+      culprit.send();
+      time.advance(400);
+    }
+    suspended.process.resume();
+    cutOff.process.cutFromStore(false);
+    cutOff.process.cutFromOthers(false);
+    time.advance(CONTACT_MILLIS);
+    for (Instance instance : List.of(suspended, cutOff)) {
+      assertWithMessage(instance.id).that(instance.refuses("root", "dead")).isTrue();
+      assertWithMessage(instance.id).that(instance.refuses("root", "fine")).isFalse();
+    }
+  }
+
   @Test
   void memoryIsBounded() {
     SoundParts soundParts = new SoundParts();
