--- a/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -228,6 +228,10 @@
             // set the time.
             asOfNanos = firstRevision == 0 ? sentNanos : asOfNanos;
             replace(collected, fromRevision);
+          } else {
+            LOG.infof(
+                "store.listing_ignored prefix=%s listedRevision=%d revision=%d items=%d",
+                prefix, fromRevision, revision, collected.size());
           }
           watch();
         });
