--- a/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -57,6 +57,51 @@
     writeFailure = kind;
   }
 
+  /** A copy of all items and leases at one moment. */
+  public static final class Snapshot {
+    private final Map<String, StoreItem> items;
+    private final List<StoreItem> history;
+    private final long revision;
+    private final long nextLease;
+    private final Map<Long, Long> leaseMillis;
+    private final Map<String, Long> leaseOfKey;
+
+    private Snapshot(FakeSharedStore store) {
+      items = Map.copyOf(store.items);
+      history = List.copyOf(store.history);
+      revision = store.revision;
+      nextLease = store.nextLease;
+      leaseMillis = Map.copyOf(store.leaseMillis);
+      leaseOfKey = Map.copyOf(store.leaseOfKey);
+    }
+  }
+
+  /** Returns a copy of the current state. */
+  public Snapshot snapshot() {
+    return new Snapshot(this);
+  }
+
+  /**
+   * Returns to an earlier state: later changes and leases are gone, and their revisions and lease
+   * ids are given out again. Waiting watches fail.
+   */
+  public void restore(Snapshot snapshot) {
+    items.clear();
+    items.putAll(snapshot.items);
+    history.clear();
+    history.addAll(snapshot.history);
+    revision = snapshot.revision;
+    nextLease = snapshot.nextLease;
+    leaseEnds.values().forEach(Scheduler.Task::cancel);
+    leaseEnds.clear();
+    leaseMillis.clear();
+    leaseMillis.putAll(snapshot.leaseMillis);
+    leaseOfKey.clear();
+    leaseOfKey.putAll(snapshot.leaseOfKey);
+    snapshot.leaseMillis.keySet().forEach(this::keep);
+    endWatches(Kind.OUTCOME_UNKNOWN);
+  }
+
   /** Returns the number of calls so far. */
   public int calls() {
     return calls;
@@ -149,7 +194,7 @@
     if (failed != null) {
       return failed;
     }
-    if (after < forgottenRevision) {
+    if (after < forgottenRevision || after > revision) {
       return CompletableFuture.failedFuture(new StoreException(Kind.HISTORY_LOST, "forgotten"));
     }
     List<StoreItem> newer = new ArrayList<>();
