Keep registrations of a growing fleet from lapsing

Found by RestoredStoreTest with 300 instances: the first leases are granted for three renewal periods of a fleet whose size is not yet known (6 s), and renewed after one period of the fleet as it is then (14 s with 300 instances). Registrations lapsed once after the start of fleets of more than about 90 instances, and with them owners of allowances and readers of the store changed.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -46,6 +46,9 @@
   /** Time to live of the lease, in renewal periods; it survives missed renewals for that long. */
   private static final int LEASE_PERIODS = 3;
 
+  /** A lease of fewer renewal periods, granted before the fleet grew, is replaced. */
+  private static final int MIN_LEASE_PERIODS = 2;
+
   /**
    * How long an instance stays in the view after its registration ended, in milliseconds. All
    * registrations may end in a store outage and return within a few renewal periods.
@@ -77,6 +80,7 @@
   private Map<String, InetSocketAddress> listed = Map.of();
   private Map<String, String> failureDomains = Map.of();
   private Optional<Lease> lease = Optional.empty();
+  private long leaseTtlMillis;
   private StorePosition registeredAt = StorePosition.NONE;
   private Scheduler.Task nextRenewal = Scheduler.Task.NONE;
   private boolean isRenewing;
@@ -139,7 +143,9 @@
       return;
     }
     isRenewing = true;
-    CompletableFuture<Void> registered = lease.isEmpty() ? register() : renew(lease.get());
+    boolean isRenewable =
+        lease.isPresent() && leaseTtlMillis >= MIN_LEASE_PERIODS * renewalPeriodMillis();
+    CompletableFuture<Void> registered = isRenewable ? renew(lease.get()) : register();
     Completions.onComplete(
         registered,
         (done, failure) -> {
@@ -151,7 +157,7 @@
           scheduleRenewal(
               failure == null && lease.isEmpty()
                   ? restoreDelayMillis()
-                  : (long) (renewalPeriodMillis() * (0.9 + 0.2 * random.nextDouble())));
+                  : (long) (nextRenewalMillis() * (0.9 + 0.2 * random.nextDouble())));
         });
   }
 
@@ -165,11 +171,13 @@
   }
 
   private CompletableFuture<Void> register() {
+    long ttlMillis = LEASE_PERIODS * renewalPeriodMillis();
     return store
-        .grantLease(LEASE_PERIODS * renewalPeriodMillis())
+        .grantLease(ttlMillis)
         .thenCompose(
             granted -> {
               lease = Optional.of(granted);
+              leaseTtlMillis = ttlMillis;
               return write(granted);
             });
   }
@@ -284,6 +292,13 @@
     onChanged.run();
   }
 
+  /** Returns the delay before the next renewal; a lease granted to a smaller fleet ends sooner. */
+  private long nextRenewalMillis() {
+    return lease.isPresent()
+        ? Math.min(renewalPeriodMillis(), leaseTtlMillis / MIN_LEASE_PERIODS)
+        : renewalPeriodMillis();
+  }
+
   private long renewalPeriodMillis() {
     return RENEWAL_PERIOD_MILLIS + RENEWAL_PERIOD_MILLIS_PER_INSTANCE * listed.size();
   }
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/RestoredStoreTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/RestoredStoreTest.java
@@ -67,7 +67,7 @@
 
   /** Registrations that the store has lost are written again before anyone else gives them up. */
   @ParameterizedTest
-  @ValueSource(ints = {1, 3, 8, 60})
+  @ValueSource(ints = {1, 3, 8, 60, 300})
   void instancesStayListedWhenTheirRegistrationsAndLeasesAreLost(int count) {
     FakeSharedStore.Snapshot copy = store.snapshot();
     startAll(count);
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/StoreFanOutTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/StoreFanOutTest.java
@@ -56,6 +56,30 @@
     assertThat(many - 1.15 * renewalsOfMany).isAtMost(1.3 * (few - 0.9 * renewalsOfFew));
   }
 
+  /**
+   * The first leases are granted before the size of the fleet, and so the next renewal, is known.
+   */
+  @Test
+  void registrationsStayWhileTheFleetGrows() {
+    for (int count : new int[] {60, 95, 160, 300}) {
+      StoreFanOutTest test = new StoreFanOutTest();
+      test.store.put(KEY, "1");
+      for (int i = 0; i < count; i++) {
+        test.instances.add(test.new Instance(i));
+        test.time.advance(i % 3 == 0 ? 1 : 0);
+      }
+      test.time.advance(4_000);
+      for (int i = 0; i < 60; i++) {
+        test.time.advance(1_000);
+        for (Instance instance : test.instances) {
+          assertWithMessage(instance.id)
+              .that(test.store.value(InstanceRegistry.PREFIX + instance.id))
+              .isNotEmpty();
+        }
+      }
+    }
+  }
+
   @Test
   void instancesOfASmallFailureDomainReadTheStoreThemselves() {
     startAll(3);
