--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -21,8 +21,10 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -86,6 +88,17 @@
    * @param connectTimeoutMillis the timeout of connection establishment
    */
   public HttpConnector(EventLoopGroup eventLoops, int connectTimeoutMillis) {
+    this(eventLoops, connectTimeoutMillis, Optional.empty());
+  }
+
+  /**
+   * Creates a client whose connections have a given source address.
+   *
+   * @param connectTimeoutMillis the timeout of connection establishment
+   * @param localAddress the source address, or empty to let the system choose
+   */
+  public HttpConnector(
+      EventLoopGroup eventLoops, int connectTimeoutMillis, Optional<InetAddress> localAddress) {
     this.bootstrap =
         new Bootstrap()
             .group(eventLoops)
@@ -107,6 +120,7 @@
                     channel.pipeline().addLast(new ClientConnection());
                   }
                 });
+    localAddress.ifPresent(source -> bootstrap.localAddress(new InetSocketAddress(source, 0)));
   }
 
   /** Sends a request; the listener receives the response in chunks. */
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -111,7 +111,8 @@
       EndpointProtocol endpoints) {
     this.settings = settings;
     boundsWriter.accept(settings.bounds());
-    HttpConnector connector = new HttpConnector(eventLoops, CONNECT_TIMEOUT_MILLIS);
+    HttpConnector connector =
+        new HttpConnector(eventLoops, CONNECT_TIMEOUT_MILLIS, settings.sourceAddress());
     SharedStore sharedStore = store.apply(connector);
     RandomGenerator random = new SplittableRandom();
     this.peers = new PeerRpc(settings.peerAddress(), eventLoops, scheduler);
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNodeSettings.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNodeSettings.java
@@ -1,5 +1,6 @@
 package org.buckthornferry.node;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +13,8 @@
  * @param peerAddress the address to which other instances connect
  * @param seeds peer addresses of some other instances, used before the store is reachable
  * @param metricsAddress the address that serves metrics and the state dump, or empty for none
+ * @param sourceAddress the source address of connections to the store and to endpoints, or empty to
+ *     let the system choose
  */
 public record RelayNodeSettings(
     String instanceId,
@@ -22,6 +25,7 @@
     InetSocketAddress peerAddress,
     List<InetSocketAddress> seeds,
     Optional<InetSocketAddress> metricsAddress,
+    Optional<InetAddress> sourceAddress,
     OperatingBounds bounds) {
   /** Creates settings with an unmodifiable copy of the seeds. */
   public RelayNodeSettings {
