--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/AttemptOutcome.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/AttemptOutcome.java
@@ -14,6 +14,10 @@
   MISDIRECTED(Evidence.GONE),
   /** No connection could be established; the request was not sent. */
   UNREACHABLE(Evidence.BROKEN),
+  /** A reservation was not answered in time; the request was not sent. */
+  SILENT(Evidence.BROKEN),
+  /** The instance that should forward the request could not; nothing was sent. */
+  NOT_FORWARDED(Evidence.NONE),
   /** The connection was lost or the answer was invalid after the request was sent. */
   BROKEN(Evidence.BROKEN),
   /** The endpoint sent nothing for too long. */
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Endpoint;
@@ -74,6 +75,12 @@
    */
   private static final int MAX_FAILED_PLACEMENTS = 8;
 
+  /**
+   * How long after an answer requests are sent on open connections while new ones fail and no other
+   * instance can forward them, in milliseconds.
+   */
+  private static final long OPEN_CONNECTION_TRUST_MILLIS = 1_000;
+
   /** How long slots count as scarce after an endpoint refused for lack of one, in milliseconds. */
   private static final long SCARCITY_MILLIS = 1_000;
 
@@ -111,6 +118,9 @@
   private final AnswerLengths answerLengths = new AnswerLengths();
   private final PrefixCacheAffinity affinity = new PrefixCacheAffinity();
   private final PartitionDetector partitionDetector = new PartitionDetector();
+  private final ForwardingPeers forwarders;
+  private long answeredNanos = Long.MIN_VALUE / 2;
+  private boolean wasCutOff;
   private Service service;
   private List<String> instanceIds = List.of();
   private long scarceUntilNanos = Long.MIN_VALUE / 2;
@@ -120,12 +130,21 @@
 
   /** Creates a dispatcher without endpoints. */
   public Dispatcher(Service service, String selfId, String ownDomain, RandomGenerator random) {
-    this(service, selfId, ownDomain, random, VersionPolicy.ANY, RateLimitPolicy.NONE);
+    this(
+        service,
+        selfId,
+        ownDomain,
+        random,
+        VersionPolicy.ANY,
+        RateLimitPolicy.NONE,
+        new ForwardingPeers(ownDomain, random));
   }
 
   /**
    * Creates a dispatcher without endpoints for a service that may have a canary version and
    * endpoints with a rate limit.
+   *
+   * @param forwarders the instances that reach the endpoints while this one is cut off from them
    */
   public Dispatcher(
       Service service,
@@ -133,8 +152,10 @@
       String ownDomain,
       RandomGenerator random,
       VersionPolicy versions,
-      RateLimitPolicy rateLimits) {
+      RateLimitPolicy rateLimits,
+      ForwardingPeers forwarders) {
     this.versions = versions;
+    this.forwarders = forwarders;
     this.rateLimits = rateLimits;
     this.service = service;
     this.selfId = selfId;
@@ -167,6 +188,7 @@
       endpoints.put(endpoint.id(), load);
     }
     speeds = null;
+    partitionDetector.setEndpoints(Set.copyOf(endpoints.keySet()));
     affinity.setEndpoints(
         endpoints.keySet(), usable.stream().mapToInt(Endpoint::capacity).max().orElse(1));
   }
@@ -201,6 +223,44 @@
     return partitionDetector.isPartitioned();
   }
 
+  /** Records that a connection to an endpoint was established. */
+  public void onConnected(String endpointId) {
+    if (endpoints.containsKey(endpointId)) {
+      partitionDetector.onConnected();
+    }
+  }
+
+  /** Records that no connection to an endpoint could be established. */
+  public void onConnectFailed(String endpointId, long nowNanos) {
+    if (endpoints.containsKey(endpointId)) {
+      partitionDetector.onConnectFailed(endpointId, nowNanos);
+    }
+  }
+
+  /** Returns whether this instance cannot open connections to the endpoints. */
+  public boolean isCutOff(long nowNanos) {
+    return partitionDetector.isCutOff(nowNanos);
+  }
+
+  /**
+   * Returns endpoints to which a connection shows whether this instance is cut off, those first
+   * that are not known to be unreachable.
+   */
+  public List<Endpoint> reachabilityProbes(int count) {
+    List<Endpoint> untried = new ArrayList<>();
+    List<Endpoint> failed = new ArrayList<>();
+    for (EndpointLoad load : endpoints.values()) {
+      boolean hasFailed = partitionDetector.hasConnectFailed(load.endpoint().id());
+      (hasFailed ? failed : untried).add(load.endpoint());
+    }
+    List<Endpoint> probes = new ArrayList<>();
+    while (probes.size() < count && !(untried.isEmpty() && failed.isEmpty())) {
+      List<Endpoint> candidates = untried.isEmpty() ? failed : untried;
+      probes.add(candidates.remove(random.nextInt(candidates.size())));
+    }
+    return probes;
+  }
+
   /** Returns the number of endpoints that may get requests. */
   public int endpointCount() {
     return endpoints.size();
@@ -255,8 +315,9 @@
       refuse(request, ErrorKind.QUEUE_FULL, "too many requests wait", 0, nowNanos);
       return;
     }
-    if (partitionDetector.isPartitioned() && !isBoundToInstance(request)) {
-      if (!partitionDetector.tryProbe(nowNanos)) {
+    if (isUnreachable(nowNanos) && !isBoundToInstance(request)) {
+      // While the instance is cut off, connections are probed instead of requests.
+      if (isCutOff(nowNanos) || !partitionDetector.tryProbe(nowNanos)) {
         refusePartitioned(request, nowNanos);
         return;
       }
@@ -280,6 +341,23 @@
     queue.add(request, nowNanos);
   }
 
+  /** Returns whether requests can be neither sent to the endpoints nor forwarded. */
+  private boolean isUnreachable(long nowNanos) {
+    boolean isPartitioned =
+        partitionDetector.isPartitioned() || (isCutOff(nowNanos) && !hasAnsweredLately(nowNanos));
+    return isPartitioned && !isForwarding(nowNanos);
+  }
+
+  /** Returns whether open connections still serve, although new ones may fail. */
+  private boolean hasAnsweredLately(long nowNanos) {
+    return nowNanos - answeredNanos < TimeUnit.MILLISECONDS.toNanos(OPEN_CONNECTION_TRUST_MILLIS);
+  }
+
+  /** Returns whether requests are passed on by other instances. */
+  private boolean isForwarding(long nowNanos) {
+    return isCutOff(nowNanos) && forwarders.hasUsable(nowNanos);
+  }
+
   /** Removes a request from the queue; returns whether it was waiting. */
   public boolean remove(WaitingRequest request) {
     return queue.remove(request);
@@ -289,7 +367,9 @@
   public void onSent(Placement placement, long nowNanos) {
     queue.onStarted(placement.request(), nowNanos);
     if (placement.needsReservation()) {
-      partitionDetector.onAnswered();
+      if (!placement.isForwarded()) {
+        recordAnswer(nowNanos);
+      }
       load(placement.endpoint()).ifPresent(EndpointLoad::onReserved);
     } else if (placement.needsPermit()) {
       load(placement.endpoint()).ifPresent(EndpointLoad::onPermitted);
@@ -327,11 +407,8 @@
    */
   public void onAttemptEnded(
       Placement placement, boolean wasReserving, AttemptOutcome outcome, long nowNanos) {
-    switch (outcome) {
-      case UNREACHABLE -> partitionDetector.onUnreachable(placement.endpoint().id(), nowNanos);
-      case COMPLETED, FAILED, FULL, FULL_AND_CLOSING, MISDIRECTED -> partitionDetector.onAnswered();
-      case BROKEN, TIMED_OUT, CANCELLED, HELD_BACK -> {}
-      default -> throw new IllegalStateException("unknown outcome " + outcome);
+    if (!placement.isForwarded()) {
+      recordReachability(placement, outcome, nowNanos);
     }
     if (wasReserving) {
       versions.onWithdrawn(placement.request().routeName(), placement.endpoint().version());
@@ -350,10 +427,34 @@
                     nowNanos));
   }
 
+  private void recordReachability(Placement placement, AttemptOutcome outcome, long nowNanos) {
+    switch (outcome) {
+      case UNREACHABLE -> partitionDetector.onUnreachable(placement.endpoint().id(), nowNanos);
+      case COMPLETED, FAILED, FULL, FULL_AND_CLOSING, MISDIRECTED -> recordAnswer(nowNanos);
+      case SILENT, BROKEN, TIMED_OUT, CANCELLED, HELD_BACK, NOT_FORWARDED -> {}
+      default -> throw new IllegalStateException("unknown outcome " + outcome);
+    }
+  }
+
+  private void recordAnswer(long nowNanos) {
+    answeredNanos = nowNanos;
+    partitionDetector.onAnswered();
+  }
+
+  /** Forgets failures of endpoints that are those of the path to them, when it is found cut. */
+  private void applyCutOff(long nowNanos) {
+    boolean isCutOff = isCutOff(nowNanos);
+    if (isCutOff != wasCutOff) {
+      wasCutOff = isCutOff;
+      endpoints.values().forEach(load -> load.clearFailures(nowNanos));
+    }
+  }
+
   /**
    * Places or refuses the requests that are due and returns when to call again, or {@link #NEVER}.
    */
   public long dispatch(long nowNanos) {
+    applyCutOff(nowNanos);
     refuseExpired(nowNanos);
     long nextNanos = queue.nextDueNanos(this::queueDeadlineNanos);
     double meanMillisPerEvent = speeds().millisPerEvent();
@@ -393,7 +494,9 @@
     // A reservation would be a second call to an endpoint that counts calls.
     long reservationMillis =
         needsPermit ? 0 : service.reservations().map(Reservations::durationMillis).orElse(0L);
-    Placement placement = new Placement(request, load.endpoint(), reservationMillis, needsPermit);
+    Placement placement =
+        new Placement(
+            request, load.endpoint(), reservationMillis, needsPermit, isForwarding(nowNanos));
     load.onPlaced(placement.needsGrant(), nowNanos);
     versions.onPlaced(request.routeName(), load.endpoint().version());
     request.listener().onPlaced(placement);
@@ -574,7 +677,7 @@
   private void refuseExpired(long nowNanos) {
     for (Iterator<WaitingRequest> requests = queue.iterator(); requests.hasNext(); ) {
       WaitingRequest request = requests.next();
-      if (partitionDetector.isPartitioned() && !isBoundToInstance(request) && !request.isProbe()) {
+      if (isUnreachable(nowNanos) && !isBoundToInstance(request) && !request.isProbe()) {
         requests.remove();
         refusePartitioned(request, nowNanos);
       } else if (refuseIfNoneAccepts(request, 0, nowNanos)) {
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
@@ -141,6 +141,12 @@
     return !isProbing || (reserving == 0 && (consecutiveFailures == 0 || running == 0));
   }
 
+  /** Forgets failures that were not the endpoint's. */
+  void clearFailures(long nowNanos) {
+    consecutiveFailures = 0;
+    failureBackoffUntilNanos = nowNanos;
+  }
+
   /** Returns when the cold-start limit permits a request; {@code nowNanos} when warm. */
   long coldLimitNanos(Service service, String selfId, List<String> instanceIds, long nowNanos) {
     if (!isCold(service, nowNanos)) {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
@@ -15,13 +15,16 @@
  *     until its registration has ended
  * @param lapsed instances whose registration ended recently; they may only have lost the store
  * @param failureDomains failure domains of the listed instances, by instance id
+ * @param forwardAddresses addresses at which listed instances take requests to endpoints from
+ *     instances that are cut off from these
  */
 public record FleetView(
     Map<String, InetSocketAddress> listed,
     Map<String, InetSocketAddress> lapsed,
-    Map<String, String> failureDomains) {
+    Map<String, String> failureDomains,
+    Map<String, InetSocketAddress> forwardAddresses) {
   /** Value before the first listing. */
-  public static final FleetView EMPTY = new FleetView(Map.of(), Map.of(), Map.of());
+  public static final FleetView EMPTY = new FleetView(Map.of(), Map.of(), Map.of(), Map.of());
 
   /** Blackboard entry of the current view. */
   public static final BlackboardEntry<FleetView> ENTRY = BlackboardEntry.of("fleet", EMPTY);
@@ -37,6 +40,15 @@
     listed = Map.copyOf(listed);
     lapsed = Map.copyOf(lapsed);
     failureDomains = Map.copyOf(failureDomains);
+    forwardAddresses = Map.copyOf(forwardAddresses);
+  }
+
+  /** Creates a view of instances that forward no requests. */
+  public FleetView(
+      Map<String, InetSocketAddress> listed,
+      Map<String, InetSocketAddress> lapsed,
+      Map<String, String> failureDomains) {
+    this(listed, lapsed, failureDomains, Map.of());
   }
 
   /** Returns the ids of the listed instances in a failure domain, sorted. */
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRecord.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRecord.java
@@ -3,29 +3,42 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.buckthornferry.http.Addresses;
 
 /**
  * Registration of an instance, as stored for the other instances.
  *
  * @param peerAddress address on which the instance listens for its peers
+ * @param forwardAddress address on which the instance takes requests to endpoints from peers that
+ *     are cut off from these; empty if it takes none
  * @param failureDomain failure domain of the instance
  */
-record InstanceRecord(InetSocketAddress peerAddress, String failureDomain) {
+record InstanceRecord(
+    InetSocketAddress peerAddress,
+    Optional<InetSocketAddress> forwardAddress,
+    String failureDomain) {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String PEER_ADDRESS = "peerAddress";
+  private static final String FORWARD_ADDRESS = "forwardAddress";
   private static final String FAILURE_DOMAIN = "failureDomain";
 
   byte[] encode() {
-    return JsonNodeFactory.instance
-        .objectNode()
-        .put(PEER_ADDRESS, peerAddress.getHostString() + ":" + peerAddress.getPort())
-        .put(FAILURE_DOMAIN, failureDomain)
-        .toString()
-        .getBytes(StandardCharsets.UTF_8);
+    ObjectNode node =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put(PEER_ADDRESS, encode(peerAddress))
+            .put(FAILURE_DOMAIN, failureDomain);
+    forwardAddress.ifPresent(address -> node.put(FORWARD_ADDRESS, encode(address)));
+    return node.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String encode(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
   }
 
   /** Decodes a stored registration; fails if {@link #encode} did not write it. */
@@ -33,7 +46,10 @@
     JsonNode node = MAPPER.readTree(value);
     try {
       return new InstanceRecord(
-          Addresses.parse(node.path(PEER_ADDRESS).asText()), node.path(FAILURE_DOMAIN).asText());
+          Addresses.parse(node.path(PEER_ADDRESS).asText()),
+          Optional.ofNullable(node.get(FORWARD_ADDRESS))
+              .map(address -> Addresses.parse(address.asText())),
+          node.path(FAILURE_DOMAIN).asText());
     } catch (IllegalArgumentException e) {
       throw new IOException(e.getMessage(), e);
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -79,6 +79,7 @@
   private final Map<String, Lapsed> lapsed = new HashMap<>();
   private Map<String, InetSocketAddress> listed = Map.of();
   private Map<String, String> failureDomains = Map.of();
+  private Map<String, InetSocketAddress> forwardAddresses = Map.of();
   private Optional<Lease> lease = Optional.empty();
   private long leaseTtlMillis;
   private StorePosition registeredAt = StorePosition.NONE;
@@ -92,6 +93,7 @@
   /**
    * Creates a registry that does not register until started.
    *
+   * @param forwardAddress address at which this instance takes requests to endpoints from others
    * @param onChanged called after each write to the blackboard
    */
   public InstanceRegistry(
@@ -99,6 +101,7 @@
       StoreView view,
       String selfId,
       InetSocketAddress peerAddress,
+      Optional<InetSocketAddress> forwardAddress,
       String failureDomain,
       Blackboard blackboard,
       Runnable onChanged,
@@ -108,7 +111,7 @@
     this.store = store;
     this.view = view;
     this.selfId = selfId;
-    this.self = new InstanceRecord(peerAddress, failureDomain);
+    this.self = new InstanceRecord(peerAddress, forwardAddress, failureDomain);
     this.viewWriter = blackboard.writerOf(FleetView.ENTRY);
     this.onChanged = onChanged;
     this.scheduler = scheduler;
@@ -243,12 +246,14 @@
   public void onChanged() {
     Map<String, InetSocketAddress> registered = new HashMap<>();
     Map<String, String> domains = new HashMap<>();
+    Map<String, InetSocketAddress> forwards = new HashMap<>();
     for (StoreItem item : view.items(PREFIX)) {
       try {
         String id = item.key().substring(PREFIX.length());
         InstanceRecord other = InstanceRecord.decode(item.value());
         registered.put(id, other.peerAddress());
         domains.put(id, other.failureDomain());
+        other.forwardAddress().ifPresent(address -> forwards.put(id, address));
       } catch (IOException e) {
         LOG.warnf("instance.unreadable key=%s reason=%s", item.key(), e.getMessage());
       }
@@ -276,6 +281,7 @@
         });
     listed = Map.copyOf(registered);
     failureDomains = Map.copyOf(domains);
+    forwardAddresses = Map.copyOf(forwards);
     publish();
   }
 
@@ -288,7 +294,7 @@
                 listed.containsKey(entry.getKey()) || entry.getValue().untilNanos - nowNanos <= 0);
     Map<String, InetSocketAddress> lapsedAddresses = new HashMap<>();
     lapsed.forEach((id, entry) -> lapsedAddresses.put(id, entry.address));
-    viewWriter.accept(new FleetView(listed, lapsedAddresses, failureDomains));
+    viewWriter.accept(new FleetView(listed, lapsedAddresses, failureDomains, forwardAddresses));
     onChanged.run();
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -59,12 +59,23 @@
   /** The idle time before the first TCP keep-alive probe, and the interval between probes. */
   private static final int KEEPALIVE_PROBE_SECONDS = 1;
 
+  /** How long a new connection has to stay open to show that its server is there. */
+  private static final long PROBE_MILLIS = 20;
+
   /** Unacknowledged TCP keep-alive probes after which the kernel resets a connection. */
   private static final int KEEPALIVE_PROBE_COUNT = 3;
 
   private final Bootstrap bootstrap;
   private final Map<InetSocketAddress, ConcurrentLinkedDeque<IdleChannel>> idle =
       new ConcurrentHashMap<>();
+  private volatile ConnectListener connectListener = (address, isConnected) -> {};
+
+  /** Receives the outcome of each attempt to open a connection, on an event loop. */
+  @FunctionalInterface
+  public interface ConnectListener {
+    /** Called when a connection was established or could not be. */
+    void onConnect(InetSocketAddress address, boolean isConnected);
+  }
 
   /** Which idle connections a request may reuse. */
   public enum Reuse {
@@ -123,6 +134,39 @@
     localAddress.ifPresent(source -> bootstrap.localAddress(new InetSocketAddress(source, 0)));
   }
 
+  /** Sets the receiver of the outcomes of connection attempts. */
+  public void onConnect(ConnectListener listener) {
+    connectListener = listener;
+  }
+
+  /**
+   * Opens a connection to find out whether a server can be reached. The connect listener receives
+   * the outcome after {@link #PROBE_MILLIS}, in which a connection that is not served breaks. The
+   * connection is kept for later requests.
+   */
+  public void probe(InetSocketAddress address) {
+    bootstrap
+        .connect(address)
+        .addListener(
+            (ChannelFuture connected) -> {
+              if (!connected.isSuccess()) {
+                connectListener.onConnect(address, false);
+                return;
+              }
+              Channel channel = connected.channel();
+              channel
+                  .eventLoop()
+                  .schedule(() -> onProbed(address, channel), PROBE_MILLIS, TimeUnit.MILLISECONDS);
+            });
+  }
+
+  private void onProbed(InetSocketAddress address, Channel channel) {
+    connectListener.onConnect(address, channel.isActive());
+    if (channel.isActive()) {
+      release(address, channel, OptionalLong.empty());
+    }
+  }
+
   /** Sends a request; the listener receives the response in chunks. */
   public HttpCall send(
       InetSocketAddress address,
@@ -167,7 +211,13 @@
     } else {
       bootstrap
           .connect(address)
-          .addListener((ChannelFuture connected) -> call.onConnected(connected));
+          .addListener(
+              (ChannelFuture connected) -> {
+                if (!connected.isSuccess()) {
+                  connectListener.onConnect(address, false);
+                }
+                call.onConnected(connected);
+              });
     }
     return call;
   }
@@ -212,9 +262,38 @@
       Predicate<HttpHeaders> isMatch,
       int maxBodyBytes,
       long timeoutMillis) {
+    return exchange(
+        (fields, listener) -> send(address, method, pathAndQuery, fields, body, reuse, listener),
+        address,
+        headers,
+        isMatch,
+        maxBodyBytes,
+        timeoutMillis);
+  }
+
+  /** Sends a request with the given header fields; the listener receives the response. */
+  @FunctionalInterface
+  public interface Sender {
+    /** Sends the request. */
+    HttpCall send(HttpHeaders headers, HttpResponseListener listener);
+  }
+
+  /**
+   * Sends a request in a way of the caller's own and returns the complete response.
+   *
+   * @param host the address for the {@code Host} field
+   * @param isMatch whether a response with these header fields belongs to the request
+   * @param maxBodyBytes the maximum size of the response body; the request fails if it is exceeded
+   */
+  public CompletableFuture<HttpReply> exchange(
+      Sender sender,
+      InetSocketAddress host,
+      Map<String, String> headers,
+      Predicate<HttpHeaders> isMatch,
+      int maxBodyBytes,
+      long timeoutMillis) {
     CollectingListener listener = new CollectingListener(isMatch, maxBodyBytes);
-    HttpHeaders fields = fields(address, headers);
-    HttpCall call = send(address, method, pathAndQuery, fields, body, reuse, listener);
+    HttpCall call = sender.send(fields(host, headers), listener);
     ScheduledFuture<?> timeout =
         bootstrap
             .config()
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpLimits.java
@@ -15,6 +15,15 @@
   /** Limits for servers that are not exposed to callers. */
   public static final HttpLimits INTERNAL = new HttpLimits(16_384, 4 << 20, 4_096, 300_000);
 
+  /** Returns limits for the same requests with the header fields that another instance adds. */
+  public HttpLimits forForwarding() {
+    return new HttpLimits(
+        maxHeaderBytes + INTERNAL.maxHeaderBytes,
+        maxBodyBytes,
+        INTERNAL.maxConnections,
+        INTERNAL.idleTimeoutMillis);
+  }
+
   /** Checks that all limits are positive. */
   public HttpLimits {
     Checks.positive(maxHeaderBytes, "maxHeaderBytes");
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -197,6 +197,7 @@
             storeView,
             settings.instanceId(),
             settings.peerAddress(),
+            settings.forwardAddress(),
             settings.failureDomain(),
             blackboard,
             relay::refresh,
@@ -218,6 +219,7 @@
       servers.add(internalServer(settings.readinessAddress()));
     }
     settings.metricsAddress().ifPresent(address -> servers.add(internalServer(address)));
+    settings.forwardAddress().ifPresent(address -> servers.add(forwardServer(address)));
   }
 
   /** Starts listening and watching the store. Fails when an address cannot be bound. */
@@ -307,6 +309,16 @@
         address, HttpLimits.INTERNAL, Optional.empty(), eventLoops, this::onInternalRequest);
   }
 
+  /** Requests of other instances have the fields of their callers and some more. */
+  private HttpServer forwardServer(InetSocketAddress address) {
+    return new HttpServer(
+        address,
+        () -> blackboard.read(Catalog.ENTRY).limits().forForwarding(),
+        Optional.empty(),
+        eventLoops,
+        relay.forwardHandler());
+  }
+
   private void onCallerRequest(HttpExchange exchange) {
     if (exchange.rawUri().equals(settings.readinessPath())
         && settings.readinessAddress().equals(settings.callerAddress())) {
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNodeSettings.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNodeSettings.java
@@ -13,6 +13,8 @@
  * @param peerAddress the address to which other instances connect
  * @param seeds peer addresses of some other instances, used before the store is reachable
  * @param metricsAddress the address that serves metrics and the state dump, or empty for none
+ * @param forwardAddress the address at which other instances that are cut off from endpoints send
+ *     requests to these, or empty to take none
  * @param sourceAddress the source address of connections to the store and to endpoints, or empty to
  *     let the system choose
  */
@@ -25,6 +27,7 @@
     InetSocketAddress peerAddress,
     List<InetSocketAddress> seeds,
     Optional<InetSocketAddress> metricsAddress,
+    Optional<InetSocketAddress> forwardAddress,
     Optional<InetAddress> sourceAddress,
     OperatingBounds bounds) {
   /** Creates settings with an unmodifiable copy of the seeds. */
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,6 +18,7 @@
 import org.buckthornferry.catalog.Route;
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.dispatch.ForwardingPeers;
 import org.buckthornferry.endpoint.Verdict;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
@@ -79,6 +81,9 @@
   private final String ownDomain;
   private final RandomGenerator random;
   private final Map<String, ServiceQueue> queues = new HashMap<>();
+  private final ForwardingPeers forwarders;
+  private final EndpointClient endpointClient;
+  private final ForwardHandler forwardHandler;
   private final SharedAllowances allowances;
   private final LoadLog loadLog;
   private int inProgress;
@@ -119,6 +124,11 @@
     this.selfId = selfId;
     this.ownDomain = ownDomain;
     this.random = random;
+    this.forwarders = new ForwardingPeers(ownDomain, random);
+    this.endpointClient = new EndpointClient(environment, forwarders);
+    this.forwardHandler =
+        new ForwardHandler(environment, name -> Optional.ofNullable(queues.get(name)));
+    connector.onConnect(this::onConnect);
     registry.gauge("relay.in_progress", () -> (Gauge<Integer>) () -> inProgress);
     registry.gauge("relay.waiting", () -> (Gauge<Integer>) this::waiting);
   }
@@ -138,6 +148,7 @@
     Catalog catalog = environment.blackboard().read(Catalog.ENTRY);
     EndpointList list = environment.blackboard().read(EndpointList.ENTRY);
     FleetView fleet = environment.blackboard().read(FleetView.ENTRY);
+    setForwarders(fleet);
     Map<String, List<Endpoint>> byService = new HashMap<>();
     for (Endpoint endpoint : list.endpoints()) {
       byService.computeIfAbsent(endpoint.serviceName(), name -> new ArrayList<>()).add(endpoint);
@@ -145,7 +156,15 @@
     for (Service service : catalog.services()) {
       ServiceQueue queue = queues.get(service.name());
       if (queue == null) {
-        queue = new ServiceQueue(service, selfId, ownDomain, environment, random);
+        queue =
+            new ServiceQueue(
+                service,
+                selfId,
+                ownDomain,
+                environment,
+                forwarders,
+                this::probeReachability,
+                random);
         queues.put(service.name(), queue);
       }
       queue.update(service, byService.getOrDefault(service.name(), List.of()), fleet.instanceIds());
@@ -157,14 +176,44 @@
     environment.limits().refresh();
   }
 
+  private void setForwarders(FleetView fleet) {
+    Map<String, String> domains = new HashMap<>();
+    for (String id : fleet.forwardAddresses().keySet()) {
+      if (!id.equals(selfId)) {
+        domains.put(id, fleet.failureDomains().getOrDefault(id, ""));
+      }
+    }
+    forwarders.setPeers(domains);
+  }
+
+  /** Returns the handler of requests to endpoints from instances that are cut off from these. */
+  public HttpHandler forwardHandler() {
+    return forwardHandler;
+  }
+
+  private void onConnect(InetSocketAddress address, boolean isConnected) {
+    for (Endpoint endpoint : environment.blackboard().read(EndpointList.ENTRY).endpoints()) {
+      ServiceQueue queue = queues.get(endpoint.serviceName());
+      if (endpoint.address().equals(address) && queue != null) {
+        queue.onConnect(endpoint, isConnected);
+      }
+    }
+  }
+
+  /** A cut from the endpoints of one service may be one from all. */
+  private void probeReachability() {
+    queues.values().forEach(ServiceQueue::probeReachability);
+  }
+
   /** Rejects all further requests, which have not run; requests in progress continue. */
   public void close() {
     isShuttingDown = true;
+    forwardHandler.close();
   }
 
-  /** Returns the number of requests whose response is not complete. */
+  /** Returns the number of requests, own and forwarded ones, whose response is not complete. */
   public int inProgress() {
-    return inProgress;
+    return inProgress + forwardHandler.inProgress();
   }
 
   /** Returns the state of the endpoints by service, for the state dump. */
@@ -360,6 +409,7 @@
     RelayedRequest relayed =
         new RelayedRequest(
             environment,
+            endpointClient,
             checked.queue,
             checked.exchange,
             request,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayMetrics.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayMetrics.java
@@ -18,6 +18,9 @@
   final Counter truncated;
   final Counter callersDisconnected;
   final Counter reservationsRefused;
+  final Counter forwarded;
+  final Counter forwardedForOthers;
+  final Counter forwardingRefused;
   final Histogram firstEventMillis;
   final Histogram waitedMillis;
   final Histogram totalMillis;
@@ -32,6 +35,9 @@
     truncated = registry.counter("relay.cut");
     callersDisconnected = registry.counter("relay.callers_left");
     reservationsRefused = registry.counter("relay.reservations_refused");
+    forwarded = registry.counter("relay.forwarded");
+    forwardedForOthers = registry.counter("relay.forwarded_for_others");
+    forwardingRefused = registry.counter("relay.forwarding_refused");
     firstEventMillis = histogram(registry, "relay.first_event_millis");
     waitedMillis = histogram(registry, "relay.waited_millis");
     totalMillis = histogram(registry, "relay.total_millis");
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -18,6 +18,7 @@
 import org.buckthornferry.http.HttpCall;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
+import org.buckthornferry.http.HttpFailure;
 import org.buckthornferry.http.HttpReply;
 import org.buckthornferry.http.HttpResponseListener;
 import org.buckthornferry.relay.EndpointProtocol.Reservation;
@@ -68,6 +69,7 @@
   private static final double PROMPT_TOKENS_PER_WORK_UNIT = 1_000;
 
   private final RelayEnvironment environment;
+  private final EndpointClient client;
   private final ServiceQueue queue;
   private final HttpExchange exchange;
   private final CallerRequest request;
@@ -103,6 +105,7 @@
 
   RelayedRequest(
       RelayEnvironment environment,
+      EndpointClient client,
       ServiceQueue queue,
       HttpExchange exchange,
       CallerRequest request,
@@ -113,6 +116,7 @@
       boolean isTrial,
       Consumer<Boolean> onEnded) {
     this.environment = environment;
+    this.client = client;
     this.queue = queue;
     this.exchange = exchange;
     this.request = request;
@@ -233,43 +237,68 @@
         (reply, failure) -> {
           long millis = TimeUnit.NANOSECONDS.toMillis(environment.clock().nanoTime() - startNanos);
           boolean mayBeStaleConnection =
-              reuse == HttpConnector.Reuse.ANY && millis < RESERVE_TIMEOUT_MILLIS / 2;
+              reuse == HttpConnector.Reuse.ANY
+                  && !placement.isForwarded()
+                  && millis < RESERVE_TIMEOUT_MILLIS / 2;
           if (failure != null && mayBeStaleConnection) {
             // The endpoint may have closed an idle connection; a new one shows whether it is alive.
             reserve(placement, HttpConnector.Reuse.NONE);
             return;
           }
           if (failure != null) {
-            onReservation(placement, Optional.empty(), String.valueOf(failure.getMessage()));
+            onReservationLost(placement, failure);
             return;
           }
           environment.partQuarantine().onResponse(placement.endpoint());
           queue.onAvailability(
               placement.endpoint(), protocol.decodeAvailability(reply.status(), reply.headers()));
-          onReservation(placement, Optional.of(protocol.decodeReservation(reply)), "");
+          onReservation(placement, protocol.decodeReservation(reply));
         });
   }
 
-  private void onReservation(
-      Placement placement, Optional<Reservation> decoded, String failureText) {
+  private void onReservationLost(Placement placement, Throwable failure) {
     boolean isCurrent =
         phase == Phase.RESERVING && pendingReservation.equals(Optional.of(placement));
-    boolean isGranted =
-        decoded.map(Reservation::kind).equals(Optional.of(Reservation.Kind.GRANTED));
+    pendingReservation = isCurrent ? Optional.empty() : pendingReservation;
+    AttemptOutcome outcome = lostOutcome(failure);
+    LOG.infof(
+        "reservation.failed id=%s endpoint=%s forwarded=%s outcome=%s reason=\"%s\"",
+        request.requestId(),
+        placement.endpoint().id(),
+        placement.isForwarded(),
+        outcome,
+        failure.getMessage());
+    onReservationFailed(placement, isCurrent, outcome);
+  }
+
+  /** Returns what a call without an answer says about the endpoint. */
+  private static AttemptOutcome lostOutcome(Throwable failure) {
+    if (forwardFailure(failure).map(ForwardFailure.Kind::isOfPeer).orElse(false)) {
+      return AttemptOutcome.NOT_FORWARDED;
+    }
+    boolean wasSent = !(failure instanceof HttpFailure known) || known.mayHaveReachedServer();
+    return wasSent ? AttemptOutcome.SILENT : AttemptOutcome.UNREACHABLE;
+  }
+
+  private static Optional<ForwardFailure.Kind> forwardFailure(Throwable failure) {
+    for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+      if (cause instanceof ForwardFailure known) {
+        return Optional.of(known.kind());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void onReservation(Placement placement, Reservation reservation) {
+    boolean isCurrent =
+        phase == Phase.RESERVING && pendingReservation.equals(Optional.of(placement));
+    boolean isGranted = reservation.kind() == Reservation.Kind.GRANTED;
     if (isCurrent && isGranted && queue.isLimited(placement.endpoint())) {
       // The endpoint named a limit after the request was placed.
-      takePermit(placement, decoded.map(Reservation::id));
+      takePermit(placement, Optional.of(reservation.id()));
       return;
     }
     pendingReservation = isCurrent ? Optional.empty() : pendingReservation;
-    if (decoded.isEmpty()) {
-      LOG.infof(
-          "reservation.failed id=%s endpoint=%s reason=\"%s\"",
-          request.requestId(), placement.endpoint().id(), failureText);
-      onReservationFailed(placement, isCurrent, AttemptOutcome.UNREACHABLE);
-      return;
-    }
-    Reservation reservation = decoded.get();
     switch (reservation.kind()) {
       case GRANTED -> {
         if (!queue.acceptsRequests(placement.endpoint())) {
@@ -315,18 +344,21 @@
 
   private CompletableFuture<HttpReply> call(
       Placement placement, EndpointProtocol.ControlRequest call, HttpConnector.Reuse reuse) {
-    return environment
-        .connector()
-        .exchange(
-            placement.endpoint().address(),
-            call.method(),
-            call.path(),
-            call.headers(),
-            call.body(),
-            reuse,
-            environment.endpoints()::isControlResponse,
-            MAX_RESERVATION_RESPONSE_BYTES,
-            RESERVE_TIMEOUT_MILLIS);
+    return client.exchange(
+        placement.endpoint(),
+        path(placement, /* requestId= */ "", RESERVE_TIMEOUT_MILLIS),
+        call,
+        reuse,
+        MAX_RESERVATION_RESPONSE_BYTES);
+  }
+
+  private EndpointClient.Path path(Placement placement, String requestId, long timeoutMillis) {
+    return new EndpointClient.Path(
+        requestId,
+        placement.isForwarded(),
+        // Failure domains of one region are not told apart from others.
+        /* isBoundToDomain= */ !route.allowedRegions().isEmpty(),
+        timeoutMillis);
   }
 
   private void release(Placement placement, String reservationId) {
@@ -372,13 +404,14 @@
     environment.metrics().sent.inc();
     environment.metrics().waitedMillis.update(elapsedMillis());
     LOG.infof(
-        "request.sent id=%s endpoint=%s domain=%s attempt=%d reserved=%s waitedMillis=%d"
-            + " leftMillis=%d after=%s",
+        "request.sent id=%s endpoint=%s domain=%s attempt=%d reserved=%s forwarded=%s"
+            + " waitedMillis=%d leftMillis=%d after=%s",
         request.requestId(),
         placement.endpoint().id(),
         placement.endpoint().failureDomain(),
         attempts,
         reservationId.isPresent(),
+        placement.isForwarded(),
         elapsedMillis(),
         remainingMillis,
         lastEventId.orElse("-"));
@@ -582,16 +615,15 @@
 
     private void start(HttpHeaders headers) {
       call =
-          environment
-              .connector()
-              .send(
-                  placement.endpoint().address(),
-                  request.method(),
-                  request.uri(),
-                  headers,
-                  request.body(),
-                  route.isRetryable() ? HttpConnector.Reuse.ANY : HttpConnector.Reuse.FRESH,
-                  this);
+          client.send(
+              placement.endpoint(),
+              path(placement, request.requestId(), remainingMillis()),
+              request.method(),
+              request.uri(),
+              headers,
+              request.body(),
+              route.isRetryable() ? HttpConnector.Reuse.ANY : HttpConnector.Reuse.FRESH,
+              this);
       if (route.isRetryable() && !hasEnded) {
         scheduleStallCheck(firstEventTimeoutMillis());
       }
@@ -671,7 +703,14 @@
             case COMPLETED -> Optional.of(CanaryTrial.Ending.ANSWERED);
             case FAILED, BROKEN -> Optional.of(CanaryTrial.Ending.FAILED);
             case TIMED_OUT, CANCELLED -> Optional.of(CanaryTrial.Ending.CUT_SHORT);
-            case FULL, FULL_AND_CLOSING, MISDIRECTED, UNREACHABLE, HELD_BACK -> Optional.empty();
+            case FULL,
+                FULL_AND_CLOSING,
+                MISDIRECTED,
+                UNREACHABLE,
+                SILENT,
+                HELD_BACK,
+                NOT_FORWARDED ->
+                Optional.empty();
           };
       double millis = (environment.clock().nanoTime() - sentNanos) / 1e6;
       double workUnits = 1 + events + waiting.size().promptTokens() / PROMPT_TOKENS_PER_WORK_UNIT;
@@ -921,8 +960,11 @@
       if (hasEnded) {
         return;
       }
-      close(mayHaveReachedServer ? AttemptOutcome.BROKEN : AttemptOutcome.UNREACHABLE);
-      if (mayHaveReachedServer) {
+      boolean isOfPeer = forwardFailure(cause).map(ForwardFailure.Kind::isOfPeer).orElse(false);
+      AttemptOutcome lost =
+          mayHaveReachedServer ? AttemptOutcome.BROKEN : AttemptOutcome.UNREACHABLE;
+      close(isOfPeer ? AttemptOutcome.NOT_FORWARDED : lost);
+      if (mayHaveReachedServer && !isOfPeer) {
         reportCrash();
       }
       if (phase == Phase.ENDED) {
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -1,12 +1,15 @@
 package org.buckthornferry.relay;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.dispatch.AttemptOutcome;
 import org.buckthornferry.dispatch.Dispatcher;
+import org.buckthornferry.dispatch.ForwardingPeers;
 import org.buckthornferry.dispatch.Placement;
 import org.buckthornferry.dispatch.Priority;
 import org.buckthornferry.dispatch.RetryBudget;
@@ -26,23 +29,54 @@
    */
   private static final long TIMER_SLACK_MILLIS = 1;
 
+  /**
+   * Time after an answer of an endpoint for which the path to the endpoints is not in doubt, in
+   * milliseconds.
+   */
+  private static final long TRUST_MILLIS = 300;
+
+  /** Number of endpoints that are probed at once when the path to them is in doubt. */
+  private static final int PROBES = 2;
+
+  /** Shortest interval between probes while endpoints answer, in milliseconds. */
+  private static final long PROBE_INTERVAL_MILLIS = 1_000;
+
+  /** Interval between probes while this instance is cut off, in milliseconds. */
+  private static final long CUT_OFF_PROBE_MILLIS = 400;
+
   private final RelayEnvironment environment;
+  private final Runnable onCutOff;
   private final String serviceName;
   private final Dispatcher dispatcher;
   private final RetryBudget retryBudget;
   private Scheduler.Task wakeUpTask = Scheduler.Task.NONE;
   private long wakeUpNanos = Dispatcher.NEVER;
+  private final Set<String> pendingProbes = new HashSet<>();
+  private long answeredNanos;
+  private long probedNanos;
+  private boolean isProbeScheduled;
   private boolean wasPartitioned;
+  private boolean wasCutOff;
   private boolean isDispatching;
   private boolean needsDispatch;
 
+  /**
+   * Creates a queue without endpoints.
+   *
+   * @param onCutOff called when this instance is found to be cut off from the endpoints
+   */
   ServiceQueue(
       Service service,
       String selfId,
       String ownDomain,
       RelayEnvironment environment,
+      ForwardingPeers forwarders,
+      Runnable onCutOff,
       RandomGenerator random) {
     this.environment = environment;
+    this.onCutOff = onCutOff;
+    this.answeredNanos = environment.clock().nanoTime();
+    this.probedNanos = answeredNanos;
     this.serviceName = service.name();
     this.dispatcher =
         new Dispatcher(
@@ -51,7 +85,8 @@
             ownDomain,
             random,
             environment.rollouts().policy(service.name()),
-            environment.limits());
+            environment.limits(),
+            forwarders);
     this.retryBudget =
         new RetryBudget(environment.blackboard().read(OperatingBounds.ENTRY).retryWindowMillis());
   }
@@ -60,6 +95,7 @@
     dispatcher.setService(service);
     dispatcher.setEndpoints(endpoints);
     dispatcher.setInstances(instanceIds);
+    pendingProbes.retainAll(endpoints.stream().map(Endpoint::id).toList());
     runDispatcher();
   }
 
@@ -138,6 +174,72 @@
     return dispatcher.acceptsRequests(endpoint, environment.clock().nanoTime());
   }
 
+  boolean isCutOff() {
+    return dispatcher.isCutOff(environment.clock().nanoTime());
+  }
+
+  /** Probes an endpoint that does not respond, unless the path to the endpoints is not in doubt. */
+  void doubtReachability(Endpoint endpoint) {
+    if (pendingProbes.isEmpty() && isInDoubt()) {
+      probe(List.of(endpoint));
+    }
+  }
+
+  /** Probes some endpoints at once. */
+  void probeReachability() {
+    if (pendingProbes.isEmpty() && !isCutOff()) {
+      probe(dispatcher.reachabilityProbes(PROBES));
+    }
+  }
+
+  /** Open connections may answer while new ones fail, so that a probe is due now and then. */
+  private boolean isInDoubt() {
+    long nowNanos = environment.clock().nanoTime();
+    return nowNanos - answeredNanos >= TimeUnit.MILLISECONDS.toNanos(TRUST_MILLIS)
+        || nowNanos - probedNanos >= TimeUnit.MILLISECONDS.toNanos(PROBE_INTERVAL_MILLIS);
+  }
+
+  private void probe(List<Endpoint> endpoints) {
+    probedNanos = environment.clock().nanoTime();
+    for (Endpoint endpoint : endpoints) {
+      if (pendingProbes.add(endpoint.id())) {
+        environment.connector().probe(endpoint.address());
+      }
+    }
+  }
+
+  /** Records whether a connection to an endpoint could be established. */
+  void onConnect(Endpoint endpoint, boolean isConnected) {
+    boolean wasProbe = pendingProbes.remove(endpoint.id());
+    if (isConnected) {
+      dispatcher.onConnected(endpoint.id());
+    } else {
+      dispatcher.onConnectFailed(endpoint.id(), environment.clock().nanoTime());
+      if (pendingProbes.isEmpty() && !isCutOff() && (wasProbe || isInDoubt())) {
+        probe(dispatcher.reachabilityProbes(PROBES));
+      }
+    }
+    runDispatcher();
+  }
+
+  /** Probes the endpoints while this instance is cut off from them. */
+  private void probeWhileCutOff() {
+    if (isProbeScheduled || !isCutOff()) {
+      return;
+    }
+    isProbeScheduled = true;
+    environment
+        .scheduler()
+        .schedule(
+            () -> {
+              isProbeScheduled = false;
+              pendingProbes.clear();
+              probe(dispatcher.reachabilityProbes(PROBES));
+              runDispatcher();
+            },
+            CUT_OFF_PROBE_MILLIS);
+  }
+
   void submit(WaitingRequest request) {
     dispatcher.submit(request, environment.clock().nanoTime());
     runDispatcher();
@@ -148,6 +250,9 @@
   }
 
   void onSent(Placement placement) {
+    if (placement.needsReservation() && !placement.isForwarded()) {
+      answeredNanos = environment.clock().nanoTime();
+    }
     dispatcher.onSent(placement, environment.clock().nanoTime());
   }
 
@@ -160,6 +265,15 @@
   }
 
   void onAttemptEnded(Placement placement, boolean wasReserving, AttemptOutcome outcome) {
+    if (!placement.isForwarded()) {
+      switch (outcome) {
+        case COMPLETED, FAILED, FULL, FULL_AND_CLOSING, MISDIRECTED ->
+            answeredNanos = environment.clock().nanoTime();
+        case SILENT, TIMED_OUT, BROKEN, UNREACHABLE -> doubtReachability(placement.endpoint());
+        case HELD_BACK, NOT_FORWARDED, CANCELLED -> {}
+        default -> throw new IllegalStateException("unknown outcome " + outcome);
+      }
+    }
     dispatcher.onAttemptEnded(placement, wasReserving, outcome, environment.clock().nanoTime());
     runDispatcher();
   }
@@ -185,6 +299,7 @@
   }
 
   private void logReachability() {
+    logCutOff();
     if (dispatcher.isPartitioned() == wasPartitioned) {
       return;
     }
@@ -196,6 +311,23 @@
     }
   }
 
+  private void logCutOff() {
+    boolean isCutOff = isCutOff();
+    if (isCutOff) {
+      probeWhileCutOff();
+    }
+    if (isCutOff == wasCutOff) {
+      return;
+    }
+    wasCutOff = isCutOff;
+    if (isCutOff) {
+      LOG.warnf("endpoints.cut_off service=%s waiting=%d", serviceName, waiting());
+      onCutOff.run();
+    } else {
+      LOG.infof("endpoints.connected service=%s", serviceName);
+    }
+  }
+
   private void scheduleWakeUp(long nextNanos) {
     if (nextNanos == wakeUpNanos) {
       return;
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -4,7 +4,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -20,6 +22,7 @@
       new Service("model", 100, 3_000, 5.2, Optional.of(new Service.Reservations(2_000)));
   private static final Service PLAIN = new Service("plain", 100, 0, 0, Optional.empty());
 
+  private final ForwardingPeers forwarders = new ForwardingPeers("z1", new SplittableRandom(2));
   private final List<Placement> placed = new ArrayList<>();
   private final List<String> refused = new ArrayList<>();
   private final List<Long> retryAfterMillis = new ArrayList<>();
@@ -140,7 +143,8 @@
     Endpoint canary = withVersion(endpoint("tried", 4, 0), "v2");
     OneRequestCanaryPolicy policy = new OneRequestCanaryPolicy();
     Dispatcher dispatcher =
-        new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), policy, RateLimitPolicy.NONE);
+        new Dispatcher(
+            MODEL, "i1", "z1", new SplittableRandom(1), policy, RateLimitPolicy.NONE, forwarders);
     dispatcher.setEndpoints(List.of(old, canary));
     dispatcher.setInstances(List.of("i1"));
     for (int i = 0; i < 4; i++) {
@@ -162,7 +166,8 @@
     OneRequestCanaryPolicy policy = new OneRequestCanaryPolicy();
     policy.isRolledBack = true;
     Dispatcher dispatcher =
-        new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), policy, RateLimitPolicy.NONE);
+        new Dispatcher(
+            MODEL, "i1", "z1", new SplittableRandom(1), policy, RateLimitPolicy.NONE, forwarders);
     dispatcher.setEndpoints(List.of(bad));
     dispatcher.setInstances(List.of("i1"));
     dispatcher.submit(request("r", 0, 100, 0), millis(1));
@@ -339,7 +344,8 @@
     Endpoint canary = withVersion(endpoint("tried", 4, 0), "v2");
     OneRequestCanaryPolicy policy = new OneRequestCanaryPolicy();
     Dispatcher dispatcher =
-        new Dispatcher(MODEL, "i1", "z1", new SplittableRandom(1), policy, limits(Set.of(canary)));
+        new Dispatcher(
+            MODEL, "i1", "z1", new SplittableRandom(1), policy, limits(Set.of(canary)), forwarders);
     dispatcher.setEndpoints(List.of(canary));
     dispatcher.setInstances(List.of("i1"));
     WaitingRequest request = request("r", 0, 100, 0);
@@ -360,11 +366,17 @@
     dispatcher.onAttemptEnded(last, true, AttemptOutcome.HELD_BACK, millis(nowMillis));
   }
 
-  private static Dispatcher limitedDispatcher(
+  private Dispatcher limitedDispatcher(
       Service service, Set<Endpoint> limited, Endpoint... endpoints) {
     Dispatcher dispatcher =
         new Dispatcher(
-            service, "self", "z1", new SplittableRandom(7), VersionPolicy.ANY, limits(limited));
+            service,
+            "self",
+            "z1",
+            new SplittableRandom(7),
+            VersionPolicy.ANY,
+            limits(limited),
+            forwarders);
     dispatcher.setEndpoints(List.of(endpoints));
     return dispatcher;
   }
@@ -442,6 +454,116 @@
     assertThat(dispatcher.isPartitioned()).isFalse();
   }
 
+  @Test
+  void forwardsRequestsWhileNoEndpointCanBeConnectedTo() {
+    Dispatcher dispatcher = cutOff(sixEndpoints());
+    dispatcher.submit(request("r", 0, 100, 10), millis(10));
+    dispatcher.dispatch(millis(10));
+    assertThat(refused).isEmpty();
+    assertThat(placed).hasSize(1);
+    assertThat(placed.get(0).isForwarded()).isTrue();
+  }
+
+  /** Open connections may live on while new ones fail. */
+  @Test
+  void anAnswerOnAnOpenConnectionDoesNotEndForwarding() {
+    Dispatcher dispatcher = cutOff(sixEndpoints());
+    dispatcher.onAttemptEnded(
+        new Placement(request("ok", 0, 100, 0), sixEndpoints()[5], 500),
+        false,
+        AttemptOutcome.COMPLETED,
+        millis(12));
+    dispatcher.submit(request("r", 0, 100, 15), millis(15));
+    dispatcher.dispatch(millis(15));
+    assertThat(placed.get(0).isForwarded()).isTrue();
+    dispatcher.onConnected(sixEndpoints()[5].id());
+    dispatcher.submit(request("direct", 0, 100, 20), millis(20));
+    dispatcher.dispatch(millis(20));
+    assertThat(placed.get(1).isForwarded()).isFalse();
+  }
+
+  @Test
+  void refusesAtOnceWhenTheOtherInstancesAreCutOffToo() {
+    Dispatcher dispatcher = cutOff(sixEndpoints());
+    forwarders.onFailed("i2", millis(20));
+    forwarders.onFailed("i3", millis(20));
+    dispatcher.submit(request("r", 0, 100, 30), millis(30));
+    assertThat(refused).containsExactly("r NO_ENDPOINT");
+    assertThat(retryAfterMillis.get(retryAfterMillis.size() - 1)).isAtMost(100);
+  }
+
+  @Test
+  void usesOpenConnectionsWhileTheyAnswerAndNobodyCanForward() {
+    Dispatcher dispatcher = cutOff(sixEndpoints());
+    forwarders.setPeers(Map.of());
+    dispatcher.onAttemptEnded(
+        new Placement(request("ok", 0, 100, 0), sixEndpoints()[5], 500),
+        false,
+        AttemptOutcome.COMPLETED,
+        millis(12));
+    dispatcher.submit(request("r", 0, 100, 15), millis(15));
+    dispatcher.dispatch(millis(15));
+    assertThat(placed.get(0).isForwarded()).isFalse();
+    dispatcher.submit(request("later", 0, 100, 2_000), millis(2_000));
+    assertThat(refused).containsExactly("later NO_ENDPOINT");
+  }
+
+  @Test
+  void aServiceOfFewEndpointsCanBeCutOff() {
+    for (int count = 1; count <= 3; count++) {
+      Endpoint[] few = Arrays.copyOf(sixEndpoints(), count);
+      Dispatcher dispatcher = cutOff(few);
+      assertThat(dispatcher.isCutOff(millis(10))).isTrue();
+      assertThat(dispatcher.isCutOff(millis(4_000))).isFalse();
+    }
+  }
+
+  @Test
+  void failedEndpointsBesideOneThatCanBeConnectedToAreNoCut() {
+    Dispatcher dispatcher = dispatcher(MODEL, sixEndpoints());
+    for (int i = 0; i < 6; i++) {
+      if (i == 3) {
+        dispatcher.onConnected(sixEndpoints()[i].id());
+      } else {
+        dispatcher.onConnectFailed(sixEndpoints()[i].id(), millis(i));
+      }
+    }
+    assertThat(dispatcher.isCutOff(millis(10))).isFalse();
+  }
+
+  /** A short silence of endpoints that accept connections is not a cut. */
+  @Test
+  void silentEndpointsAreNoCut() {
+    Dispatcher dispatcher = dispatcher(MODEL, sixEndpoints());
+    for (Endpoint endpoint : sixEndpoints()) {
+      dispatcher.onAttemptEnded(
+          new Placement(request("silent" + endpoint.id(), 0, 100, 0), endpoint, 500),
+          true,
+          AttemptOutcome.SILENT,
+          millis(1));
+    }
+    assertThat(dispatcher.isPartitioned()).isFalse();
+    assertThat(dispatcher.isCutOff(millis(2))).isFalse();
+  }
+
+  private Dispatcher cutOff(Endpoint... endpoints) {
+    Dispatcher dispatcher =
+        new Dispatcher(
+            MODEL,
+            "self",
+            "z1",
+            new SplittableRandom(7),
+            VersionPolicy.ANY,
+            RateLimitPolicy.NONE,
+            forwarders);
+    dispatcher.setEndpoints(List.of(endpoints));
+    forwarders.setPeers(Map.of("i2", "z1", "i3", "z2"));
+    for (Endpoint endpoint : endpoints) {
+      dispatcher.onConnectFailed(endpoint.id(), millis(5));
+    }
+    return dispatcher;
+  }
+
   /** A request that may have run must not be run by another instance. */
   @Test
   void keepsSentRequestsDuringAPartition() {
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.buckthornferry.control.Blackboard;
@@ -93,6 +94,7 @@
             view,
             id,
             Addresses.parse("127.0.0.1:1"),
+            Optional.empty(),
             "domain-a",
             target,
             () -> {},
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/LimitedServiceTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/LimitedServiceTest.java
@@ -17,6 +17,7 @@
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.dispatch.AttemptOutcome;
 import org.buckthornferry.dispatch.Dispatcher;
+import org.buckthornferry.dispatch.ForwardingPeers;
 import org.buckthornferry.dispatch.Placement;
 import org.buckthornferry.dispatch.Priority;
 import org.buckthornferry.dispatch.PromptPrefix;
@@ -187,7 +188,8 @@
               "domain-" + index % 3,
               new SplittableRandom(index),
               VersionPolicy.ANY,
-              limits);
+              limits,
+              new ForwardingPeers("domain-" + index % 3, new SplittableRandom(index)));
     }
 
     @Override
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/VirtualInstance.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/VirtualInstance.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.buckthornferry.control.Blackboard;
@@ -59,6 +60,7 @@
             view,
             id,
             address,
+            Optional.empty(),
             domain,
             blackboard,
             this::onChanged,
