Refuse waiting requests without changing the list that is being walked

Callers whose requests waited while all endpoints were paused or limited got no answer: the refusal of the first request removed it from the queue while the dispatcher walked through it, and the exception ended the decision (ConcurrentModificationException, logged as task.failed). Found by a test of brittle endpoints over loopback; the unit tests had a listener that removes nothing.

The dispatcher now walks through a copy. The test failed before.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -675,15 +674,15 @@
   }
 
   private void refuseExpired(long nowNanos) {
-    for (Iterator<WaitingRequest> requests = queue.iterator(); requests.hasNext(); ) {
-      WaitingRequest request = requests.next();
+    // A refusal may remove requests, or submit others.
+    for (WaitingRequest request : queue.snapshot()) {
       if (isUnreachable(nowNanos) && !isBoundToInstance(request) && !request.isProbe()) {
-        requests.remove();
+        queue.remove(request);
         refusePartitioned(request, nowNanos);
       } else if (refuseIfNoneAccepts(request, 0, nowNanos)) {
-        requests.remove();
+        queue.remove(request);
       } else if (queueDeadlineNanos(request) - nowNanos <= 0) {
-        requests.remove();
+        queue.remove(request);
         ErrorKind reason = hasEndpoints() ? ErrorKind.DEADLINE_UNREACHABLE : ErrorKind.NO_ENDPOINT;
         refuse(
             request,
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/RequestQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/RequestQueue.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -17,7 +16,7 @@
  * time. A class is a route and an answer length, so long answers have a guaranteed share of their
  * own. Retries of callers get no preference: they are late already, and it would make others late.
  */
-final class RequestQueue implements Iterable<WaitingRequest> {
+final class RequestQueue {
   /**
    * The share of its requests that each class has started before higher priorities continue.
    * Overload usually passes within seconds, during which priority should decide; a fifth prevents
@@ -159,9 +158,9 @@
     return requests.size();
   }
 
-  @Override
-  public Iterator<WaitingRequest> iterator() {
-    return requests.iterator();
+  /** Returns the waiting requests; later changes of the queue do not show in it. */
+  List<WaitingRequest> snapshot() {
+    return List.copyOf(requests);
   }
 
   /** Returns the earliest of the given times, or {@code Long.MAX_VALUE} for an empty queue. */
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.catalog.Service;
@@ -23,6 +24,7 @@
   private static final Service PLAIN = new Service("plain", 100, 0, 0, Optional.empty());
 
   private final ForwardingPeers forwarders = new ForwardingPeers("z1", new SplittableRandom(2));
+  private Consumer<WaitingRequest> onRefusal = request -> {};
   private final List<Placement> placed = new ArrayList<>();
   private final List<String> refused = new ArrayList<>();
   private final List<Long> retryAfterMillis = new ArrayList<>();
@@ -546,6 +548,23 @@
     assertThat(dispatcher.isCutOff(millis(2))).isFalse();
   }
 
+  /** A caller that is refused removes its request, as one that leaves does. */
+  @Test
+  void refusesAllWaitingRequestsWhenTheirListenersRemoveThem() {
+    Endpoint endpoint = endpoint("a", 1, 0);
+    Dispatcher dispatcher = dispatcher(MODEL, endpoint);
+    for (int i = 0; i < 4; i++) {
+      dispatcher.submit(request("r" + i, 0, 100, 0), millis(1));
+    }
+    dispatcher.dispatch(millis(1));
+    assertThat(placed).hasSize(1);
+    onRefusal = request -> dispatcher.remove(request);
+    dispatcher.onPause(endpoint, 60_000, millis(2));
+    dispatcher.dispatch(millis(2));
+    assertThat(refused).hasSize(3);
+    assertThat(dispatcher.waiting()).isEqualTo(0);
+  }
+
   private Dispatcher cutOff(Endpoint... endpoints) {
     Dispatcher dispatcher =
         new Dispatcher(
@@ -854,28 +873,33 @@
   }
 
   private WaitingRequest request(String id, int priority, RequestSize size, long arrivalMillis) {
-    return new WaitingRequest(
-        id,
-        "kind" + priority,
-        new Priority(1, priority),
-        size,
-        PromptPrefix.NONE,
-        millis(arrivalMillis),
-        millis(arrivalMillis + 1_000),
-        millis(arrivalMillis + 10_000),
-        /* isCallerRetry= */ false,
-        new WaitingRequest.Listener() {
-          @Override
-          public void onPlaced(Placement placement) {
-            placed.add(placement);
-          }
-
-          @Override
-          public void onRefused(ErrorKind reason, String detail, long retryMillis) {
-            refused.add(id + " " + reason);
-            retryAfterMillis.add(retryMillis);
-          }
-        });
+    List<WaitingRequest> self = new ArrayList<>();
+    WaitingRequest request =
+        new WaitingRequest(
+            id,
+            "kind" + priority,
+            new Priority(1, priority),
+            size,
+            PromptPrefix.NONE,
+            millis(arrivalMillis),
+            millis(arrivalMillis + 1_000),
+            millis(arrivalMillis + 10_000),
+            /* isCallerRetry= */ false,
+            new WaitingRequest.Listener() {
+              @Override
+              public void onPlaced(Placement placement) {
+                placed.add(placement);
+              }
+
+              @Override
+              public void onRefused(ErrorKind reason, String detail, long retryMillis) {
+                refused.add(id + " " + reason);
+                retryAfterMillis.add(retryMillis);
+                self.forEach(onRefusal);
+              }
+            });
+    self.add(request);
+    return request;
   }
 
   private static Endpoint endpoint(String id, int capacity, long coldMillis) {
