--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -286,6 +286,11 @@
     return rateLimits.hasLimits() && rateLimits.isLimited(endpoint.processKey());
   }
 
+  /** Returns the number of requests of this instance that run at an endpoint or are on the way. */
+  public int running(Endpoint endpoint) {
+    return load(endpoint).map(EndpointLoad::running).orElse(0);
+  }
+
   /** Records that an endpoint's rate limit does not permit a placed request for a time. */
   public void onHeldBack(Placement placement, long waitMillis, long nowNanos) {
     load(placement.endpoint())
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToIntFunction;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.dispatch.FleetRateLimiter;
@@ -31,8 +32,9 @@
 import org.jboss.logging.Logger;
 
 /**
- * Keeps the requests of all instances together within the rate limits that endpoints name in their
- * responses.
+ * Keeps the requests of all instances together within the limits that endpoints name in their
+ * responses: requests per second, or rejections per second, which are avoided by sending no more
+ * requests at a time than the endpoint has slots.
  *
  * <p>Each request to a limited endpoint needs a permit from the endpoint's coordinator, an instance
  * that is chosen by rendezvous hashing. An instance that cannot reach the first choices grants
@@ -58,6 +60,8 @@
   /** Wait before the next candidate is asked, in milliseconds. */
   private static final long NEXT_CANDIDATE_MILLIS = 1;
 
+  private static final Priority NO_PRIORITY = new Priority(0, 0);
+
   /** A permit that arrives later than this is not used: the instance may have been suspended. */
   private static final long MAX_PERMIT_AGE_MILLIS = 500;
 
@@ -73,6 +77,7 @@
   private final Map<String, List<String>> coordinatorOrders = new HashMap<>();
   private final Counter permits;
   private final Map<HoldReason, Counter> heldBack = new EnumMap<>(HoldReason.class);
+  private ToIntFunction<Endpoint> running = endpoint -> 0;
   private boolean stopped;
 
   /**
@@ -121,7 +126,13 @@
     registry.gauge("relay.limits.endpoints", () -> (Gauge<Integer>) () -> limited().size());
     registry.gauge(
         "relay.limits.named_per_second",
-        () -> (Gauge<Double>) () -> limited().values().stream().mapToDouble(l -> l).sum());
+        () ->
+            (Gauge<Double>)
+                () ->
+                    limited().values().stream()
+                        .filter(RateLimitNotice::hasRateLimit)
+                        .mapToDouble(RateLimitNotice::perSecond)
+                        .sum());
     registry.gauge(
         "relay.limits.own_per_second",
         () ->
@@ -132,6 +143,11 @@
                         .sum());
   }
 
+  /** Sets what counts this instance's requests that run at an endpoint. */
+  public void countRunningWith(ToIntFunction<Endpoint> counter) {
+    running = counter;
+  }
+
   /** Starts the regular calls to coordinators. */
   public void start() {
     scheduler.schedule(this::callCoordinators, LimitCoordinator.callPeriodMillis(instanceCount()));
@@ -169,12 +185,13 @@
   public CompletableFuture<Permit> take(Endpoint endpoint, Priority priority) {
     String processKey = endpoint.processKey();
     long sentNanos = clock.nanoTime();
-    if (known.perSecond(processKey, sentNanos).isEmpty()) {
+    if (known.limits(processKey, sentNanos).isEmpty()) {
       return CompletableFuture.completedFuture(new Permit(0, HoldReason.RATE_USED, 0, 0, selfId));
     }
     String coordinatorId = coordinatorId(processKey);
     return Completions.thenOnOutcome(
-        call(coordinatorId, request(Purpose.TAKE, processKey, priority)),
+        // The request that needs the permit is among those that run.
+        call(coordinatorId, request(Purpose.TAKE, processKey, priority, running(processKey) - 1)),
         (reply, failure) -> {
           Permit permit =
               failure == null
@@ -194,6 +211,9 @@
       String processKey, String coordinatorId, LimitMessages.Reply reply, long sentNanos) {
     boolean isLate =
         clock.nanoTime() - sentNanos > TimeUnit.MILLISECONDS.toNanos(MAX_PERMIT_AGE_MILLIS);
+    if (isLate && reply.waitMillis() == 0) {
+      tellEnded(processKey, Purpose.ENDED);
+    }
     long waitMillis =
         isLate ? Math.max(NEXT_CANDIDATE_MILLIS, reply.waitMillis()) : reply.waitMillis();
     return new Permit(
@@ -204,6 +224,40 @@
         coordinatorId);
   }
 
+  /**
+   * Records the end of a request that had a permit.
+   *
+   * @param wasRejected whether the endpoint rejected it for want of room
+   */
+  public void onEnded(Endpoint endpoint, boolean wasRejected) {
+    tellEnded(endpoint.processKey(), wasRejected ? Purpose.REJECTED : Purpose.ENDED);
+  }
+
+  private void tellEnded(String processKey, Purpose purpose) {
+    boolean isBrittle =
+        known.limits(processKey, clock.nanoTime()).filter(RateLimitNotice::isBrittle).isPresent();
+    if (!isBrittle) {
+      return;
+    }
+    String coordinatorId = coordinatorId(processKey);
+    Completions.onComplete(
+        call(coordinatorId, request(purpose, processKey, NO_PRIORITY, running(processKey))),
+        (reply, failure) -> {
+          if (failure != null) {
+            // The next call to the coordinator states what runs.
+            LOG.infof("limit.end_not_told endpoint=%s coordinator=%s", processKey, coordinatorId);
+          }
+        });
+  }
+
+  private int running(String processKey) {
+    return blackboard.read(EndpointList.ENTRY).endpoints().stream()
+        .filter(endpoint -> endpoint.processKey().equals(processKey))
+        .mapToInt(running)
+        .findFirst()
+        .orElse(0);
+  }
+
   /** Handles a call of another instance. */
   public byte[] answer(byte[] message) throws IOException {
     LimitMessages.Request request = LimitMessages.decodeRequest(message);
@@ -259,7 +313,7 @@
       return;
     }
     byte[] message =
-        LimitMessages.encodeRequest(request(Purpose.ANNOUNCE, processKey, new Priority(0, 0)));
+        LimitMessages.encodeRequest(request(Purpose.ANNOUNCE, processKey, NO_PRIORITY, 0));
     Map<String, InetSocketAddress> addresses = candidates();
     for (String otherId : instanceIds) {
       if (otherId.equals(selfId)) {
@@ -305,7 +359,7 @@
     }
     String coordinatorId = coordinatorId(processKey);
     Completions.onComplete(
-        call(coordinatorId, request(Purpose.PRESENT, processKey, new Priority(0, 0))),
+        call(coordinatorId, request(Purpose.PRESENT, processKey, NO_PRIORITY, running(processKey))),
         (reply, failure) -> {
           if (failure != null && !coordinatorId.equals(selfId)) {
             callCoordinator(processKey);
@@ -364,9 +418,16 @@
     return reply;
   }
 
-  private LimitMessages.Request request(Purpose purpose, String processKey, Priority priority) {
+  private LimitMessages.Request request(
+      Purpose purpose, String processKey, Priority priority, int runningNow) {
     return new LimitMessages.Request(
-        purpose, processKey, selfId, instanceCount(), knownNotice(processKey), priority);
+        purpose,
+        processKey,
+        selfId,
+        instanceCount(),
+        knownNotice(processKey),
+        priority,
+        Math.max(0, runningNow));
   }
 
   /** Returns the first candidate that replies, or this instance when none of the first does. */
@@ -393,12 +454,16 @@
     return blackboard.read(FleetView.ENTRY).addresses();
   }
 
-  private Map<String, Double> limited() {
+  private Map<String, RateLimitNotice> limited() {
     return known.limited(clock.nanoTime());
   }
 
   private double limitPerSecond(String processKey) {
-    return known.perSecond(processKey, clock.nanoTime()).orElse(0.0);
+    return known
+        .limits(processKey, clock.nanoTime())
+        .filter(RateLimitNotice::hasRateLimit)
+        .map(RateLimitNotice::perSecond)
+        .orElse(0.0);
   }
 
   private Contact contact(String processKey) {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
@@ -68,12 +68,9 @@
     return statements.get(processKey, nowNanos);
   }
 
-  /** Returns the limit of a process in requests per second, or empty when it has none. */
-  Optional<Double> perSecond(String processKey, long nowNanos) {
-    return statements
-        .get(processKey, nowNanos)
-        .filter(Statement::isLimited)
-        .map(statement -> statement.notice.perSecond());
+  /** Returns the limits of a process, or empty when it has none. */
+  Optional<RateLimitNotice> limits(String processKey, long nowNanos) {
+    return statements.get(processKey, nowNanos).filter(Statement::isLimited).map(Statement::notice);
   }
 
   /**
@@ -102,8 +99,13 @@
     if (statement.isLimited()) {
       limitedKeys.add(processKey);
       LOG.infof(
-          "endpoint.limit_named endpoint=%s perSecond=%s before=%s heardFrom=%s",
-          processKey, statement.notice.perSecond(), describe(before), source);
+          "endpoint.limit_named endpoint=%s perSecond=%s maxRejectionsPerSecond=%s before=%s"
+              + " heardFrom=%s",
+          processKey,
+          statement.notice.perSecond(),
+          statement.notice.maxRejectionsPerSecond(),
+          describe(before),
+          source);
     } else {
       limitedKeys.remove(processKey);
       LOG.infof(
@@ -113,20 +115,22 @@
     return true;
   }
 
-  /** Returns the limit of each limited process in requests per second, by process key. */
-  Map<String, Double> limited(long nowNanos) {
-    Map<String, Double> limits = new HashMap<>();
+  /** Returns the limits of each limited process, by process key. */
+  Map<String, RateLimitNotice> limited(long nowNanos) {
+    Map<String, RateLimitNotice> limits = new HashMap<>();
     statements.forEach(
         nowNanos,
         (processKey, statement) -> {
           if (statement.isLimited()) {
-            limits.put(processKey, statement.notice.perSecond());
+            limits.put(processKey, statement.notice);
           }
         });
     return limits;
   }
 
   private static String describe(RateLimitNotice notice) {
-    return notice.kind() == RateLimitNotice.Kind.LIMITED ? "" + notice.perSecond() : "none";
+    return notice.kind() == RateLimitNotice.Kind.LIMITED
+        ? notice.perSecond() + "/" + notice.maxRejectionsPerSecond()
+        : "none";
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/LimitCoordinator.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/LimitCoordinator.java
@@ -4,11 +4,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.dispatch.FleetRateLimiter;
+import org.buckthornferry.dispatch.FleetSlots;
 import org.buckthornferry.dispatch.HoldReason;
+import org.buckthornferry.dispatch.RateLimitNotice;
 import org.buckthornferry.fleet.LimitMessages.Purpose;
 import org.buckthornferry.util.MonotonicClock;
 import org.jboss.logging.Logger;
@@ -46,6 +50,8 @@
   /** An endpoint process whose permits this instance grants. */
   private static final class Coordinated {
     private final FleetRateLimiter limiter;
+    private final FleetSlots slots = new FleetSlots();
+    private final long createdNanos;
     private int instances;
     private long lastCallNanos;
     private long loggedNanos;
@@ -54,6 +60,7 @@
 
     private Coordinated(long nowNanos) {
       limiter = new FleetRateLimiter(nowNanos);
+      createdNanos = nowNanos;
       loggedNanos = nowNanos;
     }
   }
@@ -83,8 +90,8 @@
   Outcome handle(LimitMessages.Request request) {
     long nowNanos = clock.nanoTime();
     String processKey = request.processKey();
-    double limitPerSecond = known.perSecond(processKey, nowNanos).orElse(Double.NaN);
-    if (Double.isNaN(limitPerSecond)) {
+    Optional<RateLimitNotice> limits = known.limits(processKey, nowNanos);
+    if (limits.isEmpty()) {
       if (coordinated.remove(processKey) != null) {
         announcer.accept(processKey, fleet().instanceIds());
       }
@@ -98,18 +105,77 @@
     }
     own.lastCallNanos = nowNanos;
     own.instances = Math.max(fleet().instanceCount(), request.instances());
-    FleetRateLimiter.Terms terms = terms(own, limitPerSecond);
+    return handle(request, own, limits.get(), nowNanos);
+  }
+
+  private Outcome handle(
+      LimitMessages.Request request, Coordinated own, RateLimitNotice limits, long nowNanos) {
+    FleetRateLimiter.Terms terms = terms(own, limits.perSecond());
     FleetRateLimiter.Decision decision = new FleetRateLimiter.Decision(0, HoldReason.RATE_USED);
-    if (request.purpose() == Purpose.TAKE) {
-      decision = own.limiter.take(request.senderId(), request.priority(), terms, nowNanos);
-    } else {
-      own.limiter.onPresent(request.senderId(), terms, nowNanos);
+    String senderId = request.senderId();
+    switch (request.purpose()) {
+      case TAKE -> {
+        if (limits.hasRateLimit()) {
+          decision = own.limiter.take(senderId, request.priority(), terms, nowNanos);
+        } else {
+          own.limiter.onPresent(senderId, terms, nowNanos);
+        }
+        if (decision.isGranted() && limits.isBrittle()) {
+          decision = takeSlot(request, own, limits, nowNanos);
+        }
+      }
+      case ENDED, REJECTED ->
+          own.slots.onEnded(senderId, request.purpose() == Purpose.REJECTED, nowNanos);
+      case PRESENT -> {
+        own.limiter.onPresent(senderId, terms, nowNanos);
+        own.slots.onPresent(senderId, request.running());
+      }
+      case ANNOUNCE -> throw new IllegalArgumentException("an announcement needs no coordinator");
+      default -> throw new IllegalStateException("unknown purpose " + request.purpose());
     }
-    double perSecond = own.limiter.grantedPerSecond(terms, nowNanos);
+    double perSecond = limits.hasRateLimit() ? own.limiter.grantedPerSecond(terms, nowNanos) : 0;
     return new Outcome(
         decision.waitMillis(), decision.reason(), perSecond / Math.max(1, own.limiter.present()));
   }
 
+  /**
+   * Takes one of the slots that belong to the instances which call this coordinator, so that two
+   * coordinators do not grant the same ones.
+   */
+  private FleetRateLimiter.Decision takeSlot(
+      LimitMessages.Request request, Coordinated own, RateLimitNotice limits, long nowNanos) {
+    double callersShare = own.limiter.grantedPerSecond(terms(own, 1), nowNanos);
+    own.slots.retainInstances(own.limiter::isPresent);
+    int slots = (int) Math.floor(callersShare * capacity(request.processKey()));
+    if (slots == 0 && isEstablished(own, nowNanos)) {
+      slots = 1;
+    }
+    long waitMillis =
+        own.slots.take(
+            request.senderId(),
+            request.running(),
+            new FleetSlots.Terms(slots, limits.maxRejectionsPerSecond()),
+            nowNanos);
+    return new FleetRateLimiter.Decision(waitMillis, HoldReason.NO_FREE_SLOT);
+  }
+
+  /**
+   * Returns whether the instances that call a coordinator have had time to do so. Before, others
+   * may still call the one that it replaces.
+   */
+  private static boolean isEstablished(Coordinated own, long nowNanos) {
+    return nowNanos - own.createdNanos
+        >= TimeUnit.MILLISECONDS.toNanos(terms(own, 1).presenceMillis());
+  }
+
+  private int capacity(String processKey) {
+    return blackboard.read(EndpointList.ENTRY).endpoints().stream()
+        .filter(endpoint -> endpoint.processKey().equals(processKey))
+        .mapToInt(Endpoint::capacity)
+        .findFirst()
+        .orElse(1);
+  }
+
   /** Logs and announces the limits in use, and forgets the others. */
   void onPeriod() {
     long nowNanos = clock.nanoTime();
@@ -126,7 +192,12 @@
 
   /** Logs the state of a limit at intervals; returns whether nobody has called for long. */
   private boolean logOrDrop(String processKey, Coordinated own, long nowNanos) {
-    double limitPerSecond = known.perSecond(processKey, nowNanos).orElse(0.0);
+    double limitPerSecond =
+        known
+            .limits(processKey, nowNanos)
+            .filter(RateLimitNotice::hasRateLimit)
+            .map(RateLimitNotice::perSecond)
+            .orElse(0.0);
     FleetRateLimiter.Terms terms = terms(own, limitPerSecond);
     boolean isIdle =
         nowNanos - own.lastCallNanos > TimeUnit.MILLISECONDS.toNanos(terms.presenceMillis());
@@ -135,14 +206,15 @@
     if (isIdle || isLogDue) {
       LOG.infof(
           "limit.state endpoint=%s perSecond=%s grantedPerSecond=%.3f present=%d instances=%d"
-              + " granted=%d refused=%d",
+              + " granted=%d refused=%d running=%d",
           processKey,
           limitPerSecond,
           own.limiter.grantedPerSecond(terms, nowNanos),
           own.limiter.present(),
           own.instances,
           own.limiter.granted() - own.loggedGranted,
-          own.limiter.refused() - own.loggedRefused);
+          own.limiter.refused() - own.loggedRefused,
+          own.slots.running());
       own.loggedNanos = nowNanos;
       own.loggedGranted = own.limiter.granted();
       own.loggedRefused = own.limiter.refused();
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/LimitMessages.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/LimitMessages.java
@@ -18,7 +18,11 @@
     /** Tells the coordinator that the sender knows the limit. */
     PRESENT,
     /** Tells another instance of a change. */
-    ANNOUNCE
+    ANNOUNCE,
+    /** Tells the coordinator that a request has ended. */
+    ENDED,
+    /** Tells the coordinator that the endpoint has rejected a request. */
+    REJECTED
   }
 
   /** A statement of the endpoint, with the time since an instance received it. */
@@ -29,6 +33,7 @@
    *
    * @param instances the number of instances that the sender knows
    * @param priority the priority of the request that needs a permit
+   * @param running the requests of the sender that run at the endpoint
    */
   record Request(
       Purpose purpose,
@@ -36,7 +41,8 @@
       String senderId,
       int instances,
       AgedNotice known,
-      Priority priority) {}
+      Priority priority,
+      int running) {}
 
   /**
    * A reply.
@@ -57,7 +63,8 @@
               .packString(request.senderId)
               .packInt(request.instances)
               .packInt(request.priority.customerPriority())
-              .packInt(request.priority.routePriority());
+              .packInt(request.priority.routePriority())
+              .packInt(request.running);
           write(packer, request.known);
         });
   }
@@ -69,7 +76,9 @@
       String senderId = MessageCodec.readText(unpacker);
       int instances = unpacker.unpackInt();
       Priority priority = new Priority(unpacker.unpackInt(), unpacker.unpackInt());
-      return new Request(purpose, processKey, senderId, instances, readNotice(unpacker), priority);
+      int running = unpacker.unpackInt();
+      return new Request(
+          purpose, processKey, senderId, instances, readNotice(unpacker), priority, running);
     } catch (MessagePackException e) {
       throw new IOException("malformed request", e);
     }
@@ -102,16 +111,20 @@
     packer
         .packString(known.notice.kind().name())
         .packDouble(known.notice.perSecond())
+        .packDouble(known.notice.maxRejectionsPerSecond())
         .packLong(known.ageMillis);
   }
 
   private static AgedNotice readNotice(MessageUnpacker unpacker) throws IOException {
     RateLimitNotice.Kind kind = readConstant(RateLimitNotice.Kind.class, unpacker);
     double perSecond = unpacker.unpackDouble();
-    if (!(perSecond >= 0) || Double.isInfinite(perSecond)) {
-      throw new IOException("invalid rate limit " + perSecond);
+    double maxRejectionsPerSecond = unpacker.unpackDouble();
+    if (!(perSecond >= 0 && maxRejectionsPerSecond >= 0)) {
+      throw new IOException("invalid limits " + perSecond + ", " + maxRejectionsPerSecond);
     }
-    return new AgedNotice(new RateLimitNotice(kind, perSecond), Math.max(0, unpacker.unpackLong()));
+    return new AgedNotice(
+        new RateLimitNotice(kind, perSecond, maxRejectionsPerSecond),
+        Math.max(0, unpacker.unpackLong()));
   }
 
   private static <E extends Enum<E>> E readConstant(Class<E> type, MessageUnpacker unpacker)
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -129,6 +129,7 @@
     this.forwardHandler =
         new ForwardHandler(environment, name -> Optional.ofNullable(queues.get(name)));
     connector.onConnect(this::onConnect);
+    limits.countRunningWith(this::running);
     registry.gauge("relay.in_progress", () -> (Gauge<Integer>) () -> inProgress);
     registry.gauge("relay.waiting", () -> (Gauge<Integer>) this::waiting);
   }
@@ -191,6 +192,11 @@
     return forwardHandler;
   }
 
+  private int running(Endpoint endpoint) {
+    ServiceQueue queue = queues.get(endpoint.serviceName());
+    return queue == null ? 0 : queue.running(endpoint);
+  }
+
   private void onConnect(InetSocketAddress address, boolean isConnected) {
     for (Endpoint endpoint : environment.blackboard().read(EndpointList.ENTRY).endpoints()) {
       ServiceQueue queue = queues.get(endpoint.serviceName());
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -88,6 +88,7 @@
   private Optional<String> lastEventId;
   private boolean headForwarded;
   private boolean mayHaveRun;
+  private boolean hasPermit;
   private Optional<Attempt> failedResponse = Optional.empty();
 
   private enum Phase {
@@ -213,13 +214,23 @@
             queue.onHeldBack(placement, permit.waitMillis());
             onReservationFailed(placement, isCurrent, AttemptOutcome.HELD_BACK);
           } else if (!isCurrent || !queue.acceptsRequests(placement.endpoint())) {
+            environment.limits().onEnded(placement.endpoint(), /* wasRejected= */ false);
             onReservationFailed(placement, isCurrent, AttemptOutcome.CANCELLED);
           } else {
+            hasPermit = true;
             send(placement, reservationId);
           }
         });
   }
 
+  /** Gives the permit of the current attempt back, if it has one. */
+  private void returnPermit(Placement placement, boolean wasRejected) {
+    if (hasPermit) {
+      hasPermit = false;
+      environment.limits().onEnded(placement.endpoint(), wasRejected);
+    }
+  }
+
   private void reserve(Placement placement) {
     phase = Phase.RESERVING;
     pendingReservation = Optional.of(placement);
@@ -386,12 +397,14 @@
     long remainingMillis = remainingMillis();
     if (remainingMillis < MIN_ATTEMPT_MILLIS) {
       phase = Phase.WAITING;
+      returnPermit(placement, /* wasRejected= */ false);
       reservationId.ifPresent(id -> release(placement, id));
       queue.onAttemptEnded(placement, placement.needsGrant(), AttemptOutcome.CANCELLED);
       return;
     }
     Optional<RequestException> quarantined = quarantined();
     if (quarantined.isPresent()) {
+      returnPermit(placement, /* wasRejected= */ false);
       reservationId.ifPresent(id -> release(placement, id));
       queue.onAttemptEnded(placement, placement.needsGrant(), AttemptOutcome.CANCELLED);
       RequestException reason = quarantined.get();
@@ -692,6 +705,8 @@
       if (currentAttempt.equals(Optional.of(this))) {
         currentAttempt = Optional.empty();
       }
+      returnPermit(
+          placement, outcome == AttemptOutcome.FULL || outcome == AttemptOutcome.FULL_AND_CLOSING);
       queue.onAttemptEnded(placement, false, outcome);
       reportToCanaryTrial(outcome);
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -162,6 +162,10 @@
     return dispatcher.noneAcceptsMillis(priority, environment.clock().nanoTime());
   }
 
+  int running(Endpoint endpoint) {
+    return dispatcher.running(endpoint);
+  }
+
   boolean isLimited(Endpoint endpoint) {
     return dispatcher.isLimited(endpoint);
   }
