--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -74,6 +74,9 @@
   /** The part of the grace period that is reserved for process exit, in milliseconds. */
   private static final long EXIT_MARGIN_MILLIS = 700;
 
+  /** How long the last answers have to reach their callers, in milliseconds. */
+  private static final long FLUSH_MILLIS = 200;
+
   /** How often a stopping instance checks for requests in progress, in milliseconds. */
   private static final long STOP_POLL_MILLIS = 50;
 
@@ -263,6 +266,7 @@
     eventLoop.execute(
         () -> {
           LOG.infof("instance.stopping inProgress=%d", relay.inProgress());
+          relay.stopForwarding();
           var unused =
               instances
                   .stop()
@@ -289,7 +293,8 @@
     limits.stop();
     peers.stop();
     LOG.infof("instance.stopped inProgress=%d elapsedMillis=%d", relay.inProgress(), elapsedMillis);
-    stopped.complete(null);
+    relay.endRequests();
+    schedule(() -> stopped.complete(null), FLUSH_MILLIS);
   }
 
   private void refreshRelay() {
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -5,9 +5,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -49,7 +51,7 @@
   private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
 
   /** The retry delay sent during shutdown; short because another instance serves the retry. */
-  private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
+  static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
 
   /**
    * A request whose time budget is below the route's largest budget by more than this share is a
@@ -86,6 +88,7 @@
   private final ForwardHandler forwardHandler;
   private final SharedAllowances allowances;
   private final LoadLog loadLog;
+  private final Set<RelayedRequest> relayed = new LinkedHashSet<>();
   private int inProgress;
   private boolean isShuttingDown;
 
@@ -217,6 +220,16 @@
     forwardHandler.close();
   }
 
+  /** Refuses to pass on further requests of other instances; those in progress continue. */
+  public void stopForwarding() {
+    forwardHandler.close();
+  }
+
+  /** Gives the callers of all requests in progress their final answers. */
+  public void endRequests() {
+    List.copyOf(relayed).forEach(RelayedRequest::endBeforeShutdown);
+  }
+
   /** Returns the number of requests, own and forwarded ones, whose response is not complete. */
   public int inProgress() {
     return inProgress + forwardHandler.inProgress();
@@ -412,7 +425,7 @@
   private void relay(CheckedRequest checked, Consumer<Boolean> onEnded) {
     CallerRequest request = checked.request;
     Route route = checked.route;
-    RelayedRequest relayed =
+    RelayedRequest relayedRequest =
         new RelayedRequest(
             environment,
             endpointClient,
@@ -424,11 +437,13 @@
             checked.arrivalNanos,
             priorWaitMillis(route, request),
             checked.isTrial,
-            wasSent -> {
+            (ended, wasSent) -> {
               inProgress--;
+              relayed.remove(ended);
               onEnded.accept(wasSent);
             });
     inProgress++;
+    relayed.add(relayedRequest);
     environment.metrics().admitted.inc();
     LOG.infof(
         "request.admitted id=%s route=%s service=%s customer=%s config=%d waiting=%d"
@@ -442,10 +457,12 @@
         request.promptTokens(),
         request.promptPrefix().rootId(),
         request.maxOutputTokens(),
-        relayed.priority().customerPriority() + "." + relayed.priority().routePriority(),
+        relayedRequest.priority().customerPriority()
+            + "."
+            + relayedRequest.priority().routePriority(),
         request.timeBudgetMillis().orElse(-1),
-        relayed.isCallerRetry());
-    relayed.start();
+        relayedRequest.isCallerRetry());
+    relayedRequest.start();
   }
 
   /**
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.buckthornferry.catalog.Customer;
 import org.buckthornferry.catalog.Route;
 import org.buckthornferry.dispatch.AttemptOutcome;
@@ -78,7 +78,7 @@
   private final long arrivalNanos;
   private final long deadlineNanos;
   private final boolean isTrial;
-  private final Consumer<Boolean> onEnded;
+  private final BiConsumer<RelayedRequest, Boolean> onEnded;
   private final WaitingRequest waiting;
   private Phase phase = Phase.WAITING;
   private Scheduler.Task deadlineTask = Scheduler.Task.NONE;
@@ -115,7 +115,7 @@
       long arrivalNanos,
       long priorWaitMillis,
       boolean isTrial,
-      Consumer<Boolean> onEnded) {
+      BiConsumer<RelayedRequest, Boolean> onEnded) {
     this.environment = environment;
     this.client = client;
     this.queue = queue;
@@ -564,7 +564,7 @@
     phase = Phase.ENDED;
     deadlineTask.cancel();
     queue.remove(waiting);
-    onEnded.accept(attempts > 0);
+    onEnded.accept(this, attempts > 0);
   }
 
   private void onDeadline() {
@@ -580,6 +580,23 @@
     ongoing.ifPresent(attempt -> attempt.cancel(AttemptOutcome.CANCELLED));
   }
 
+  /** Gives the caller its final answer, because the instance is about to end. */
+  void endBeforeShutdown() {
+    if (phase == Phase.ENDED) {
+      return;
+    }
+    Optional<Attempt> ongoing = currentAttempt;
+    fail(
+        mayHaveRun || ongoing.isPresent()
+            ? new RequestException(
+                ErrorKind.DEADLINE_EXCEEDED, "the instance ends before the answer does")
+            : new RequestException(
+                ErrorKind.SHUTTING_DOWN,
+                "the instance is about to end",
+                Relay.SHUTDOWN_RETRY_AFTER_MILLIS));
+    ongoing.ifPresent(attempt -> attempt.cancel(AttemptOutcome.CANCELLED));
+  }
+
   private void onCallerDisconnected() {
     if (phase == Phase.ENDED) {
       return;
