Do not break off the stream of an endpoint that is silent for a second

Streams that may be resumed were taken from an endpoint that had sent nothing for 1 s (2.5 times the route's longest pause, if longer), and continued at another one, although a sound endpoint may fall silent for a second or so. The minimum is now 1.6 s; callers give up after 2 s at the earliest. aShortSilenceOfASoundEndpointEndsNoAnswer failed before (three requests reached endpoints where two are enough).

Also a test that forwarded requests draw on their customer's allowance; it passed at once.

--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -56,8 +56,11 @@
   /** The minimum timeout of the first event; covers pauses of a busy engine. */
   private static final long MIN_FIRST_EVENT_TIMEOUT_MILLIS = 400;
 
-  /** The minimum timeout between two events; covers a preempted run. */
-  private static final long MIN_EVENT_GAP_TIMEOUT_MILLIS = 1_000;
+  /**
+   * The minimum timeout between two events; covers a preempted run and a sound endpoint that is
+   * silent for a second or so.
+   */
+  private static final long MIN_EVENT_GAP_TIMEOUT_MILLIS = 1_600;
 
   /**
    * Time after which an endpoint that has begun to answer has survived it, in milliseconds. Parts
