Remove a finding from the store that was cleared while it was being written

The state of the finding is now compared again when a call has ended, and an own entry that is about to be removed is not adopted. The test failed before, also for a finding that is cleared in the same millisecond.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PartQuarantine.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PartQuarantine.java
@@ -752,7 +752,8 @@
   }
 
   private void adoptListed(PartBlame blame) {
-    if (!findings.containsKey(blame.key())) {
+    // A pending call removes the entry of a finding that was cleared while it was being written.
+    if (!findings.containsKey(blame.key()) && !pendingWrites.contains(blame.key())) {
       adopt(blame, "store");
     }
   }
@@ -770,6 +771,8 @@
         (position, failure) -> {
           if (failure == null) {
             pendingWrites.remove(key);
+            // It may have been cleared meanwhile.
+            removeEntry(key, FIRST_RETRY_MILLIS);
             return;
           }
           retryLater(key, failure, retryMillis, this::write);
@@ -785,6 +788,8 @@
         (position, failure) -> {
           if (failure == null) {
             pendingWrites.remove(key);
+            // The same parts may have been blamed again meanwhile.
+            write(key, FIRST_RETRY_MILLIS);
             return;
           }
           retryLater(key, failure, retryMillis, this::removeEntry);
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
@@ -409,6 +409,32 @@
     assertServed("root", "dead");
   }
 
+  /** The lease and the entry take a few milliseconds each. */
+  @Test
+  void aFindingThatIsClearedWhileItIsBeingWrittenDoesNotStayInTheStore() {
+    for (int delayMillis = 0; delayMillis < 12; delayMillis++) {
+      PartQuarantineTest test = new PartQuarantineTest();
+      test.startAll(1);
+      Instance writer = test.instances.get(0);
+      Culprit culprit = test.new Culprit("root", "dead");
+      for (int i = 0; i < 30 && !writer.refuses("root", "dead"); i++) {
+        test.serve("root", "fine");
+        culprit.send();
+        for (int millis = 0; millis < 400 && !writer.refuses("root", "dead"); millis++) {
+          test.time.advance(1);
+        }
+      }
+      assertThat(writer.refuses("root", "dead")).isTrue();
+      test.time.advance(delayMillis);
+      writer.quarantine.onAnswered(List.of("root", "dead"), 0);
+      test.time.advance(3_000);
+      assertThat(writer.refuses("root", "dead")).isFalse();
+      assertWithMessage("cleared after %s ms", delayMillis)
+          .that(writer.view.items(PartQuarantine.PREFIX))
+          .isEmpty();
+    }
+  }
+
   /** Lets a part crash endpoints until all instances refuse it and the store has the finding. */
   private void blame() {
     Culprit culprit = new Culprit("root", "dead");
