Bound the time to live of registrations

The fix for growing fleets replaced short leases by ones of three renewal periods, 13 s with 60 instances and 42 s with 300.

Leases now live 8 s at most and are renewed after 0.7 of their time, so none is replaced, and a dead instance is gone as soon as before.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -46,8 +46,17 @@
   /** Time to live of the lease, in renewal periods; it survives missed renewals for that long. */
   private static final int LEASE_PERIODS = 3;
 
-  /** A lease of fewer renewal periods, granted before the fleet grew, is replaced. */
-  private static final int MIN_LEASE_PERIODS = 2;
+  /**
+   * The longest time to live of a lease, in milliseconds; the others take over the duties of a dead
+   * instance when it has ended.
+   */
+  private static final long MAX_LEASE_MILLIS = 8_000;
+
+  /**
+   * The share of its time to live after which a lease is renewed at the latest: the fleet may have
+   * grown since it was granted.
+   */
+  private static final double MAX_RENEWAL_SHARE = 0.7;
 
   /**
    * How long an instance stays in the view after its registration ended, in milliseconds. All
@@ -146,9 +155,7 @@
       return;
     }
     isRenewing = true;
-    boolean isRenewable =
-        lease.isPresent() && leaseTtlMillis >= MIN_LEASE_PERIODS * renewalPeriodMillis();
-    CompletableFuture<Void> registered = isRenewable ? renew(lease.get()) : register();
+    CompletableFuture<Void> registered = lease.isEmpty() ? register() : renew(lease.get());
     Completions.onComplete(
         registered,
         (done, failure) -> {
@@ -174,7 +181,7 @@
   }
 
   private CompletableFuture<Void> register() {
-    long ttlMillis = LEASE_PERIODS * renewalPeriodMillis();
+    long ttlMillis = Math.min(MAX_LEASE_MILLIS, LEASE_PERIODS * renewalPeriodMillis());
     return store
         .grantLease(ttlMillis)
         .thenCompose(
@@ -298,10 +305,9 @@
     onChanged.run();
   }
 
-  /** Returns the delay before the next renewal; a lease granted to a smaller fleet ends sooner. */
   private long nextRenewalMillis() {
     return lease.isPresent()
-        ? Math.min(renewalPeriodMillis(), leaseTtlMillis / MIN_LEASE_PERIODS)
+        ? Math.min(renewalPeriodMillis(), (long) (MAX_RENEWAL_SHARE * leaseTtlMillis))
         : renewalPeriodMillis();
   }
 
