--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -70,6 +70,13 @@
       new ConcurrentHashMap<>();
   private volatile ConnectListener connectListener = (address, isConnected) -> {};
 
+  /** Sends a request with the given header fields; the listener receives the response. */
+  @FunctionalInterface
+  public interface Sender {
+    /** Sends the request. */
+    HttpCall send(HttpHeaders headers, HttpResponseListener listener);
+  }
+
   /** Receives the outcome of each attempt to open a connection, on an event loop. */
   @FunctionalInterface
   public interface ConnectListener {
@@ -271,13 +278,6 @@
         timeoutMillis);
   }
 
-  /** Sends a request with the given header fields; the listener receives the response. */
-  @FunctionalInterface
-  public interface Sender {
-    /** Sends the request. */
-    HttpCall send(HttpHeaders headers, HttpResponseListener listener);
-  }
-
   /**
    * Sends a request in a way of the caller's own and returns the complete response.
    *
--- a/buckthornferry/src/main/java/org/buckthornferry/store/StoreCopy.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreCopy.java
@@ -162,7 +162,7 @@
   }
 
   private void put(StoreItem change, long nowNanos) {
-    boolean isReplay = isReplay(change);
+    final boolean isReplay = isReplay(change);
     history.add(change);
     StoreItem known = items.get(change.key());
     final Kept last = kept.remove(change.key());
@@ -205,7 +205,7 @@
   boolean replace(Map<String, StoreItem> listing, StorePosition newPosition, long nowNanos) {
     boolean isFirst = position.equals(StorePosition.NONE);
     boolean isNewEra = !isFirst && position.era() != newPosition.era();
-    Map<String, StoreItem> before = Map.copyOf(items);
+    final Map<String, StoreItem> before = Map.copyOf(items);
     if (isNewEra) {
       restore(listing, newPosition, nowNanos);
     } else {
