--- a/buckthornferry/src/main/java/org/buckthornferry/catalog/Endpoint.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Endpoint.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.catalog;
 
 import java.net.InetSocketAddress;
+import org.buckthornferry.http.Addresses;
 
 /**
  * The registration of a running process of a service.
@@ -27,7 +28,7 @@
 
   /** Returns a key of the process that is the same at all instances. */
   public String processKey() {
-    return id + "@" + address.getHostString() + ":" + address.getPort() + "#" + startedEpochMillis;
+    return id + "@" + Addresses.format(address) + "#" + startedEpochMillis;
   }
 
   /** Returns whether another registration belongs to the same process. */
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/ForwardingPeers.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/ForwardingPeers.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -66,8 +66,9 @@
    * @param isBoundToDomain whether the request must not leave the failure domain
    */
   public Optional<String> choose(boolean isBoundToDomain, long nowNanos) {
-    List<String> own = usable(Set.of(ownDomain), nowNanos);
-    List<String> candidates = own.isEmpty() && !isBoundToDomain ? usable(Set.of(), nowNanos) : own;
+    List<String> own = usable(peer -> peer.domain.equals(ownDomain), nowNanos);
+    List<String> candidates =
+        own.isEmpty() && !isBoundToDomain ? usable(peer -> true, nowNanos) : own;
     if (candidates.isEmpty()) {
       return Optional.empty();
     }
@@ -76,12 +77,11 @@
     return Optional.of(peers.get(other).inProgress < peers.get(one).inProgress ? other : one);
   }
 
-  /** Returns the usable peers in some failure domains; an empty set stands for all domains. */
-  private List<String> usable(Set<String> domains, long nowNanos) {
+  private List<String> usable(Predicate<Peer> filter, long nowNanos) {
     List<String> ids = new ArrayList<>();
     peers.forEach(
         (id, peer) -> {
-          if (peer.isUsable(nowNanos) && (domains.isEmpty() || domains.contains(peer.domain))) {
+          if (peer.isUsable(nowNanos) && filter.test(peer)) {
             ids.add(id);
           }
         });
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointLimits.java
@@ -251,10 +251,10 @@
   }
 
   private int running(String processKey) {
-    return blackboard.read(EndpointList.ENTRY).endpoints().stream()
-        .filter(endpoint -> endpoint.processKey().equals(processKey))
-        .mapToInt(running)
-        .findFirst()
+    return blackboard
+        .read(EndpointList.ENTRY)
+        .process(processKey)
+        .map(running::applyAsInt)
         .orElse(0);
   }
 
@@ -459,11 +459,7 @@
   }
 
   private double limitPerSecond(String processKey) {
-    return known
-        .limits(processKey, clock.nanoTime())
-        .filter(RateLimitNotice::hasRateLimit)
-        .map(RateLimitNotice::perSecond)
-        .orElse(0.0);
+    return known.perSecond(processKey, clock.nanoTime());
   }
 
   private Contact contact(String processKey) {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointList.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointList.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.fleet;
 
 import java.util.List;
+import java.util.Optional;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.control.BlackboardEntry;
 
@@ -21,4 +22,11 @@
   public EndpointList {
     endpoints = List.copyOf(endpoints);
   }
+
+  /** Returns the endpoint of a process, or empty if it is not listed. */
+  Optional<Endpoint> process(String processKey) {
+    return endpoints.stream()
+        .filter(endpoint -> endpoint.processKey().equals(processKey))
+        .findFirst();
+  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRecord.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRecord.java
@@ -31,16 +31,12 @@
     ObjectNode node =
         JsonNodeFactory.instance
             .objectNode()
-            .put(PEER_ADDRESS, encode(peerAddress))
+            .put(PEER_ADDRESS, Addresses.format(peerAddress))
             .put(FAILURE_DOMAIN, failureDomain);
-    forwardAddress.ifPresent(address -> node.put(FORWARD_ADDRESS, encode(address)));
+    forwardAddress.ifPresent(address -> node.put(FORWARD_ADDRESS, Addresses.format(address)));
     return node.toString().getBytes(StandardCharsets.UTF_8);
   }
 
-  private static String encode(InetSocketAddress address) {
-    return address.getHostString() + ":" + address.getPort();
-  }
-
   /** Decodes a stored registration; fails if {@link #encode} did not write it. */
   static InstanceRecord decode(byte[] value) throws IOException {
     JsonNode node = MAPPER.readTree(value);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/KnownLimits.java
@@ -68,6 +68,14 @@
     return statements.get(processKey, nowNanos);
   }
 
+  /** Returns the rate limit of a process in requests per second, or 0 when it has none. */
+  double perSecond(String processKey, long nowNanos) {
+    return limits(processKey, nowNanos)
+        .filter(RateLimitNotice::hasRateLimit)
+        .map(RateLimitNotice::perSecond)
+        .orElse(0.0);
+  }
+
   /** Returns the limits of a process, or empty when it has none. */
   Optional<RateLimitNotice> limits(String processKey, long nowNanos) {
     return statements.get(processKey, nowNanos).filter(Statement::isLimited).map(Statement::notice);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/LimitCoordinator.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/LimitCoordinator.java
@@ -169,10 +169,10 @@
   }
 
   private int capacity(String processKey) {
-    return blackboard.read(EndpointList.ENTRY).endpoints().stream()
-        .filter(endpoint -> endpoint.processKey().equals(processKey))
-        .mapToInt(Endpoint::capacity)
-        .findFirst()
+    return blackboard
+        .read(EndpointList.ENTRY)
+        .process(processKey)
+        .map(Endpoint::capacity)
         .orElse(1);
   }
 
@@ -192,12 +192,7 @@
 
   /** Logs the state of a limit at intervals; returns whether nobody has called for long. */
   private boolean logOrDrop(String processKey, Coordinated own, long nowNanos) {
-    double limitPerSecond =
-        known
-            .limits(processKey, nowNanos)
-            .filter(RateLimitNotice::hasRateLimit)
-            .map(RateLimitNotice::perSecond)
-            .orElse(0.0);
+    double limitPerSecond = known.perSecond(processKey, nowNanos);
     FleetRateLimiter.Terms terms = terms(own, limitPerSecond);
     boolean isIdle =
         nowNanos - own.lastCallNanos > TimeUnit.MILLISECONDS.toNanos(terms.presenceMillis());
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/StoreView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/StoreView.java
@@ -93,7 +93,7 @@
 
   /** Returns an item, or empty if there is none. */
   Optional<StoreItem> item(String key) {
-    return follower.items(key).stream().filter(item -> item.key().equals(key)).findFirst();
+    return follower.item(key);
   }
 
   /**
--- a/buckthornferry/src/main/java/org/buckthornferry/http/Addresses.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/Addresses.java
@@ -4,7 +4,7 @@
 import java.net.URI;
 import org.buckthornferry.util.Checks;
 
-/** Parses socket addresses from settings and declarations. */
+/** Parses and formats socket addresses in settings, declarations and header fields. */
 public final class Addresses {
   private static final int MAX_PORT = 65_535;
 
@@ -27,6 +27,11 @@
     }
   }
 
+  /** Formats an address so that {@link #parse} can read it. */
+  public static String format(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+
   /**
    * Returns the address of an {@code http} URL.
    *
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -152,18 +153,28 @@
    * connection is kept for later requests.
    */
   public void probe(InetSocketAddress address) {
+    connect(
+        address,
+        connected -> {
+          Channel channel = connected.channel();
+          if (connected.isSuccess()) {
+            channel
+                .eventLoop()
+                .schedule(() -> onProbed(address, channel), PROBE_MILLIS, TimeUnit.MILLISECONDS);
+          }
+        });
+  }
+
+  /** Opens a connection, and reports it to the connect listener if that fails. */
+  private void connect(InetSocketAddress address, ChannelFutureListener onDone) {
     bootstrap
         .connect(address)
         .addListener(
             (ChannelFuture connected) -> {
               if (!connected.isSuccess()) {
                 connectListener.onConnect(address, false);
-                return;
               }
-              Channel channel = connected.channel();
-              channel
-                  .eventLoop()
-                  .schedule(() -> onProbed(address, channel), PROBE_MILLIS, TimeUnit.MILLISECONDS);
+              onDone.operationComplete(connected);
             });
   }
 
@@ -216,15 +227,7 @@
     if (reused != null) {
       call.sendOn(reused);
     } else {
-      bootstrap
-          .connect(address)
-          .addListener(
-              (ChannelFuture connected) -> {
-                if (!connected.isSuccess()) {
-                  connectListener.onConnect(address, false);
-                }
-                call.onConnected(connected);
-              });
+      connect(address, call::onConnected);
     }
     return call;
   }
@@ -364,11 +367,7 @@
   private static HttpHeaders fields(InetSocketAddress address, Map<String, String> headers) {
     HttpHeaders fields = new DefaultHttpHeaders();
     headers.forEach(fields::set);
-    fields.set(HttpHeaderNames.HOST, hostHeader(address));
+    fields.set(HttpHeaderNames.HOST, Addresses.format(address));
     return fields;
   }
-
-  private static String hostHeader(InetSocketAddress address) {
-    return address.getHostString() + ":" + address.getPort();
-  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointClient.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointClient.java
@@ -72,7 +72,7 @@
                       new ForwardFailure(ForwardFailure.Kind.REFUSED, "no instance can forward"),
                       false),
               0);
-      return NO_CALL;
+      return HttpCall.NONE;
     }
     headers.set(ForwardFields.ENDPOINT, endpoint.id());
     headers.set(ForwardFields.STARTED, endpoint.startedEpochMillis());
@@ -121,20 +121,11 @@
             path.timeoutMillis);
   }
 
-  private static final HttpCall NO_CALL =
-      new HttpCall() {
-        @Override
-        public void cancel() {}
-
-        @Override
-        public void setReading(boolean reading) {}
-      };
-
   /** A request on its way through another instance. */
   private final class ForwardedCall implements HttpResponseListener, HttpCall {
     private final String peerId;
     private final HttpResponseListener listener;
-    private HttpCall connectorCall = NO_CALL;
+    private HttpCall connectorCall = HttpCall.NONE;
     private Optional<ForwardFailure> failure = Optional.empty();
     private final long sentNanos = environment.clock().nanoTime();
     private boolean hasAnswered;
@@ -154,7 +145,8 @@
     public void onHead(int status, HttpHeaders headers) {
       String kind = headers.get(ForwardFields.FAILURE);
       if (kind != null) {
-        failure = Optional.of(new ForwardFailure(decode(kind), "from " + peerId));
+        ForwardFailure.Kind known = ForwardFields.constant(kind, ForwardFailure.Kind.PEER_BROKEN);
+        failure = Optional.of(new ForwardFailure(known, "from " + peerId));
         return;
       }
       hasAnswered = true;
@@ -167,15 +159,6 @@
       listener.onHead(status, headers);
     }
 
-    private static ForwardFailure.Kind decode(String name) {
-      for (ForwardFailure.Kind kind : ForwardFailure.Kind.values()) {
-        if (kind.name().equals(name)) {
-          return kind;
-        }
-      }
-      return ForwardFailure.Kind.PEER_BROKEN;
-    }
-
     @Override
     public void onBody(byte[] part) {
       if (failure.isEmpty()) {
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ForwardFields.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ForwardFields.java
@@ -33,6 +33,16 @@
 
   private ForwardFields() {}
 
+  /** Returns the constant with a name, or another one if there is none. */
+  static <E extends Enum<E>> E constant(String name, E other) {
+    for (E constant : other.getDeclaringClass().getEnumConstants()) {
+      if (constant.name().equals(name)) {
+        return constant;
+      }
+    }
+    return other;
+  }
+
   /** Removes the fields of this class, and those that concern one connection only. */
   static void removeHopFields(HttpHeaders headers) {
     for (String name :
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ForwardHandler.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ForwardHandler.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.fleet.EndpointList;
+import org.buckthornferry.http.Addresses;
 import org.buckthornferry.http.HttpCall;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
@@ -118,9 +119,7 @@
       HttpHeaders headers = new DefaultHttpHeaders().set(exchange.headers());
       ForwardFields.removeHopFields(headers);
       if (requestId.isEmpty()) {
-        headers.set(
-            HttpHeaderNames.HOST,
-            endpoint.address().getHostString() + ":" + endpoint.address().getPort());
+        headers.set(HttpHeaderNames.HOST, Addresses.format(endpoint.address()));
       }
       call =
           environment
@@ -142,13 +141,8 @@
     }
 
     private HttpConnector.Reuse reuse() {
-      String name = exchange.header(ForwardFields.REUSE).orElse("");
-      for (HttpConnector.Reuse reuse : HttpConnector.Reuse.values()) {
-        if (reuse.name().equals(name)) {
-          return reuse;
-        }
-      }
-      return HttpConnector.Reuse.NONE;
+      return ForwardFields.constant(
+          exchange.header(ForwardFields.REUSE).orElse(""), HttpConnector.Reuse.NONE);
     }
 
     private long timeoutMillis() {
--- a/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -166,6 +166,11 @@
     return copy.items(keyPrefix);
   }
 
+  /** Returns the item of the copy with a key, or empty if there is none. */
+  public Optional<StoreItem> item(String key) {
+    return copy.item(key);
+  }
+
   /** Returns the items in the store, also those that the copy ignores, ordered by key. */
   public Collection<StoreItem> storedItems() {
     return copy.storedItems();
--- a/buckthornferry/src/main/java/org/buckthornferry/store/StoreCopy.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreCopy.java
@@ -77,6 +77,11 @@
     return items.subMap(keyPrefix, keyPrefix + Character.MAX_VALUE).values();
   }
 
+  /** Returns the item in force with a key, or empty if there is none. */
+  Optional<StoreItem> item(String key) {
+    return Optional.ofNullable(items.get(key));
+  }
+
   /** Returns the items in the store, ordered by key. */
   Collection<StoreItem> storedItems() {
     return stored.values();
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/BrittleEndpointsTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/BrittleEndpointsTest.java
@@ -10,28 +10,25 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.dispatch.Priority;
 import org.buckthornferry.dispatch.RateLimitNotice;
 import org.buckthornferry.http.Addresses;
 import org.buckthornferry.testing.FakeSharedStore;
 import org.buckthornferry.testing.ManualScheduler;
+import org.buckthornferry.testing.QuietFleetLog;
 import org.buckthornferry.testing.VirtualInstances;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.SuspensionCountingClock;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 
 /**
  * Plays instances on virtual time that want more of some endpoints than these have room for, while
  * the endpoints fail when they reject too many requests in a second.
  */
+@ExtendWith(QuietFleetLog.class)
 final class BrittleEndpointsTest {
-  private static final Logger LOG = Logger.getLogger("org.buckthornferry.fleet");
-
   private static final int CAPACITY = 4;
 
   /** Time after the first statement from which an endpoint may fail. */
@@ -42,16 +39,6 @@
 
   private static final long RUN_MILLIS = 400;
 
-  @BeforeAll
-  static void silenceLog() {
-    LOG.setLevel(Level.OFF);
-  }
-
-  @AfterAll
-  static void restoreLog() {
-    LOG.setLevel(null);
-  }
-
   @Test
   void noEndpointRejectsTooManyRequestsAndAllStayUsedOnFleetsOfAnySize() {
     for (int count : new int[] {1, 2, 8, 60, 300}) {
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointLimitsTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointLimitsTest.java
@@ -16,8 +16,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.dispatch.HoldReason;
 import org.buckthornferry.dispatch.Priority;
@@ -27,18 +25,19 @@
 import org.buckthornferry.store.StoreException.Kind;
 import org.buckthornferry.testing.FakeSharedStore;
 import org.buckthornferry.testing.ManualScheduler;
+import org.buckthornferry.testing.QuietFleetLog;
 import org.buckthornferry.testing.VirtualInstances;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Rendezvous;
 import org.buckthornferry.util.SuspensionCountingClock;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 
 /**
  * Plays instances on virtual time that send one endpoint more requests than it accepts, and counts
  * what arrives there.
  */
+@ExtendWith(QuietFleetLog.class)
 final class EndpointLimitsTest {
   private static final int[] FLEET_SIZES = {1, 2, 8, 60, 300};
   private static final double[] LIMITS_PER_SECOND = {0.3, 1, 1.2, 5, 40};
@@ -60,22 +59,9 @@
   /** The share of the limit that must be used in calm times under more demand than that. */
   private static final double MIN_USED_SHARE = 0.8;
 
-  /** Thousands of log lines per simulated second would take most of the time. */
-  private static final Logger LOG = Logger.getLogger("org.buckthornferry.fleet");
-
   private static final Endpoint ENDPOINT =
       new Endpoint("e1", "model", Addresses.parse("127.0.0.1:1"), "z", "v1", 4, false, 0, 1, 0);
 
-  @BeforeAll
-  static void silenceLog() {
-    LOG.setLevel(Level.OFF);
-  }
-
-  @AfterAll
-  static void restoreLog() {
-    LOG.setLevel(null);
-  }
-
   @Test
   void allInstancesTogetherStayWithinTheLimitAndUseIt() {
     for (int count : FLEET_SIZES) {
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/LimitedServiceTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/LimitedServiceTest.java
@@ -11,8 +11,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.dispatch.AttemptOutcome;
@@ -30,19 +28,19 @@
 import org.buckthornferry.http.Addresses;
 import org.buckthornferry.testing.FakeSharedStore;
 import org.buckthornferry.testing.ManualScheduler;
+import org.buckthornferry.testing.QuietFleetLog;
 import org.buckthornferry.testing.VirtualInstances;
 import org.buckthornferry.util.Scheduler;
 import org.buckthornferry.util.SuspensionCountingClock;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 
 /**
  * Plays the dispatchers of all instances on virtual time while endpoints limit the rate of
  * requests, and checks what callers get.
  */
+@ExtendWith(QuietFleetLog.class)
 final class LimitedServiceTest {
-  private static final Logger LOG = Logger.getLogger("org.buckthornferry.fleet");
   private static final int ENDPOINTS = 12;
   private static final int PRIORITIES = 3;
   private static final long RUN_MILLIS = 300;
@@ -66,16 +64,6 @@
   private final Map<String, Integer> sent = new HashMap<>();
   private boolean isMeasuring;
 
-  @BeforeAll
-  static void silenceLog() {
-    LOG.setLevel(Level.OFF);
-  }
-
-  @AfterAll
-  static void restoreLog() {
-    LOG.setLevel(null);
-  }
-
   /** All endpoints together accept two thirds of the demand, twice that of the highest priority. */
   @Test
   void importantRequestsAreServedFirstAndTheOthersRefusedEarly() {
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/PartQuarantineTest.java
@@ -7,22 +7,21 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.http.Addresses;
 import org.buckthornferry.store.StoreException.Kind;
 import org.buckthornferry.testing.FakeSharedStore;
 import org.buckthornferry.testing.ManualScheduler;
+import org.buckthornferry.testing.QuietFleetLog;
 import org.buckthornferry.testing.VirtualInstances;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 
 /**
  * Tests the quarantine of parts on simulated instances that share a store and virtual time. Each
  * request arrives at a random instance and is sent to the next endpoint process.
  */
+@ExtendWith(QuietFleetLog.class)
 final class PartQuarantineTest {
   private static final long CONTACT_MILLIS = OperatingBounds.DEFAULTS.contactMillis();
 
@@ -31,9 +30,6 @@
 
   private static final int LARGEST_FLEET = 300;
 
-  /** Log lines would take most of the time. */
-  private static final Logger LOG = Logger.getLogger("org.buckthornferry.fleet");
-
   private final ManualScheduler time = new ManualScheduler();
   private final FakeSharedStore store = new FakeSharedStore(time);
   private final VirtualInstances network = new VirtualInstances(time, store);
@@ -42,16 +38,6 @@
   private int processes;
   private int contents;
 
-  @BeforeAll
-  static void silenceLog() {
-    LOG.setLevel(Level.OFF);
-  }
-
-  @AfterAll
-  static void restoreLog() {
-    LOG.setLevel(null);
-  }
-
   @Test
   void refusesAPartThatCrashesEndpointsOnFleetsOfAnySize() {
     for (int count : new int[] {1, 2, 3, 8, 60, LARGEST_FLEET}) {
