--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -41,6 +41,7 @@
   private final List<Run> runs;
   private final Set<String> holds = ConcurrentHashMap.newKeySet();
   private volatile Runnable onCrash;
+  private volatile String deadlyPath = "";
   private int occupied;
   private long nextHold = 1;
 
@@ -67,8 +68,9 @@
         .formatted(spec.service, server.address(), spec.zone, spec.capacity, born, id);
   }
 
-  /** Makes the worker crash when it begins to run a request. */
-  void crashOnRun(Runnable listener) {
+  /** Makes the worker crash when it begins to run a request with a path. */
+  void crashOnRun(String path, Runnable listener) {
+    deadlyPath = path;
     onCrash = listener;
   }
 
@@ -122,7 +124,8 @@
       runs.add(run);
     }
     try {
-      return spec.events > 0 ? stream(run, socket) : answer(run, socket);
+      boolean isDeadly = request.path().equals(deadlyPath);
+      return spec.events > 0 ? stream(run, isDeadly, socket) : answer(run, socket);
     } catch (IOException e) {
       run.wasCut = true;
       throw e;
@@ -180,9 +183,9 @@
         socket, 200, fields(run), ("done " + run.id).getBytes(StandardCharsets.UTF_8));
   }
 
-  private boolean stream(Run run, Socket socket) throws IOException {
+  private boolean stream(Run run, boolean isDeadly, Socket socket) throws IOException {
     sleep(spec.workMillis);
-    if (onCrash != null) {
+    if (isDeadly) {
       crash();
     }
     StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
