Read nothing as a request behind a request whose body is not read

Cause: Netty's aggregator answers an unknown expectation, or 100-continue with a length over the limit, resets the decoder and keeps the connection; the decoder takes a request with a transfer coding other than chunked for one without a body. A close after the response does not help, because the bytes of the same read are decoded to their end. Bodies over the limit had the same gap.

Rejections and interim responses wait for the responses to earlier requests. The connection of a rejected request is closed a second after its response, so that the client can read it.

--- a/buckthornferry/src/main/java/org/buckthornferry/error/ErrorKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/error/ErrorKind.java
@@ -10,6 +10,8 @@
   FORBIDDEN(403, RetryAdvice.DO_NOT_RETRY, ALWAYS, "The customer may not use this route or tier."),
   UNKNOWN_ROUTE(404, RetryAdvice.DO_NOT_RETRY, ALWAYS, "No service declares this path."),
   BODY_TOO_LARGE(413, RetryAdvice.DO_NOT_RETRY, ALWAYS, "The body exceeds the size limit."),
+  UNKNOWN_EXPECTATION(
+      417, RetryAdvice.DO_NOT_RETRY, ALWAYS, "The request expects something unknown."),
   RATE_LIMITED(429, RetryAdvice.AFTER_DELAY, ALWAYS, "The customer exceeds its rate."),
   SHED(503, RetryAdvice.AFTER_DELAY, ALWAYS, "The service sheds this tier."),
   DEADLINE_UNREACHABLE(
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpExchange.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpExchange.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -23,8 +22,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import org.buckthornferry.error.RequestException;
 
 /**
  * A request received by an {@link HttpServer} and its response. The response methods may be called
@@ -32,12 +33,16 @@
  * #end} in this order.
  */
 public final class HttpExchange {
+  /** How long the rest of a rejected request is read and discarded after the response. */
+  private static final long DISCARDING_MILLIS = 1_000;
+
   private final Channel channel;
   private final String method;
   private final String rawUri;
   private final QueryStringDecoder uri;
   private final HttpHeaders headers;
   private final byte[] body;
+  private final Optional<RequestException> rejection;
   private final boolean keepAlive;
   private final BooleanSupplier draining;
   private final Runnable onFinished;
@@ -56,7 +61,9 @@
     ByteBuf content = request.content();
     this.body = new byte[content.readableBytes()];
     content.getBytes(content.readerIndex(), body);
-    this.keepAlive = HttpUtil.isKeepAlive(request);
+    this.rejection =
+        Optional.ofNullable(request.decoderResult().cause()).map(RequestException.class::cast);
+    this.keepAlive = rejection.isEmpty() && HttpUtil.isKeepAlive(request);
     this.draining = draining;
     this.onFinished = onFinished;
   }
@@ -189,8 +196,20 @@
       channel.writeAndFlush(lastMessage, channel.voidPromise());
       channel.eventLoop().execute(onFinished);
     } else {
-      channel.writeAndFlush(lastMessage).addListener(ChannelFutureListener.CLOSE);
+      channel.writeAndFlush(lastMessage).addListener(written -> closeAfterLastResponse());
+    }
+  }
+
+  /** Closes the connection; if the client may still be sending a body, first lets it finish. */
+  private void closeAfterLastResponse() {
+    if (rejection.isEmpty()) {
+      channel.close();
+      return;
     }
+    // Closing with unread bytes resets the connection, and the client may lose the response.
+    channel
+        .eventLoop()
+        .schedule((Runnable) channel::close, DISCARDING_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void setConnectionHeader(HttpResponse response) {
@@ -200,6 +219,11 @@
     }
   }
 
+  /** Returns why the request is rejected without being handled, or empty. */
+  Optional<RequestException> rejection() {
+    return rejection;
+  }
+
   void connectionClosed() {
     if (isFinished.compareAndSet(false, true)) {
       closeListener.run();
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpServer.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpServer.java
@@ -132,7 +132,7 @@
           .addLast(new IdleStateHandler(0, 0, current.idleTimeoutMillis(), TimeUnit.MILLISECONDS))
           .addLast(new StrictRequestDecoder(current.maxHeaderBytes()))
           .addLast(new HttpResponseEncoder())
-          .addLast(new LimitedBodyAggregator(current.maxBodyBytes()))
+          .addLast(new RequestAssembler(current.maxBodyBytes()))
           .addLast(new ServerConnection(handler, () -> draining));
     }
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/http/ServerConnection.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ServerConnection.java
@@ -1,8 +1,12 @@
 package org.buckthornferry.http;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -22,10 +26,14 @@
   /** User event that closes the connection if no request is in progress. */
   static final Object CLOSE_WHEN_IDLE = new Object();
 
+  /** User event before a request whose client waits for an interim response to send the body. */
+  static final Object CONTINUE_EXPECTED = new Object();
+
   private final HttpHandler handler;
   private final BooleanSupplier draining;
   private final Queue<HttpExchange> pipelined = new ArrayDeque<>();
   private HttpExchange current;
+  private boolean isContinuePending;
 
   ServerConnection(HttpHandler handler, BooleanSupplier draining) {
     this.handler = handler;
@@ -34,11 +42,9 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-    HttpExchange exchange = new HttpExchange(context.channel(), request, draining, this::startNext);
-    if (request.decoderResult().isFailure()) {
-      rejectMalformed(context, exchange, request.decoderResult().cause());
-      return;
-    }
+    isContinuePending = false;
+    HttpExchange exchange =
+        new HttpExchange(context.channel(), request, draining, () -> startNext(context.channel()));
     if (current == null) {
       start(exchange);
     } else if (pipelined.size() < MAX_PIPELINED_REQUESTS) {
@@ -65,6 +71,11 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event == CONTINUE_EXPECTED) {
+      isContinuePending = true;
+      sendPendingContinue(context.channel());
+      return;
+    }
     // A request in progress has its own deadline, so the idle timeout does not apply to it.
     if ((event instanceof IdleStateEvent || event == CLOSE_WHEN_IDLE) && current == null) {
       context.close();
@@ -79,25 +90,33 @@
     context.close();
   }
 
-  private void rejectMalformed(
-      ChannelHandlerContext context, HttpExchange exchange, Throwable cause) {
-    ProblemDocument.of(
-            new RequestException(ErrorKind.BAD_REQUEST, "malformed HTTP: " + cause.getMessage()))
-        .sendTo(exchange);
-    // The end of a malformed request is unknown, so the connection cannot be reused.
-    context.close();
-  }
-
-  private void startNext() {
+  private void startNext(Channel channel) {
     current = null;
     HttpExchange next = pipelined.poll();
     if (next != null) {
       start(next);
+      return;
     }
+    sendPendingContinue(channel);
+  }
+
+  /** Sends the interim response unless it would come within or before an earlier response. */
+  private void sendPendingContinue(Channel channel) {
+    if (!isContinuePending || current != null) {
+      return;
+    }
+    isContinuePending = false;
+    channel.writeAndFlush(
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE),
+        channel.voidPromise());
   }
 
   private void start(HttpExchange exchange) {
     current = exchange;
+    if (exchange.rejection().isPresent()) {
+      ProblemDocument.of(exchange.rejection().get()).sendTo(exchange);
+      return;
+    }
     try {
       handler.handle(exchange);
     } catch (RequestException e) {
--- a/buckthornferry/src/main/java/org/buckthornferry/http/StrictRequestDecoder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/StrictRequestDecoder.java
@@ -22,4 +22,11 @@
     throw new IllegalArgumentException(
         "both " + HttpHeaderNames.TRANSFER_ENCODING + " and " + HttpHeaderNames.CONTENT_LENGTH);
   }
+
+  /** Netty takes the 8 bytes after some requests of early WebSocket drafts for a body. */
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return !message.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+        && !message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+  }
 }
