Complete a response without a length only when its server has closed the connection

Cause: while a part of the request waits to be written, a reset shows as a failed write. Netty closes the connection without an exception, and the decoder ends a response without a length as it does at an orderly close. The client did not look at how the connection had ended.

Change: connections are half-closable, so that the server's close is an event of its own; ConnectionEnd, before the decoder, tells it from every other end. A failed write fails the call. Endpoints, the store and requests through other instances share this client.

Evidence: HttpConnectorTest.aResponseWithoutALengthFailsIfTheConnectionBreaksWhileTheRequestIsSent fails on the code before and passes now; 21 of 21 of the class pass.

--- a/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,11 +23,16 @@
   /** The maximum size of skipped bodies for one request; a typical response is far smaller. */
   private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+  private final ConnectionEnd end;
   private PendingCall call;
   private boolean isSkipping;
   private int skippedResponses;
   private long skippedBytes;
 
+  ClientConnection(ConnectionEnd end) {
+    this.end = end;
+  }
+
   void begin(PendingCall newCall) {
     call = newCall;
     skippedResponses = 0;
@@ -52,6 +58,10 @@
     if (message instanceof HttpContent content) {
       if (isSkipping) {
         skippedBytes += content.content().readableBytes();
+      } else if (content instanceof LastHttpContent && end.isBroken()) {
+        // Without a length, only the server's close shows that the response is complete.
+        failAndClose(context, new IOException("connection broken before the response ended"));
+        return;
       } else {
         onContent(content);
       }
@@ -71,8 +81,16 @@
     if (content instanceof LastHttpContent) {
       PendingCall ended = call;
       call = null;
-      ended.onEnd();
+      ended.onEnd(/* isConnectionOpen= */ !end.isClosedByServer());
+    }
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      failAndClose(context, new IOException("connection closed before the response ended"));
     }
+    context.fireUserEventTriggered(event);
   }
 
   @Override
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -124,6 +124,8 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+            // Reports the server's close as an event, which a broken connection does not have.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(
                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_PROBE_SECONDS)
@@ -135,8 +137,10 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
+                    ConnectionEnd end = new ConnectionEnd();
+                    channel.pipeline().addLast(end);
                     channel.pipeline().addLast(new HttpClientCodec());
-                    channel.pipeline().addLast(new ClientConnection());
+                    channel.pipeline().addLast(new ClientConnection(end));
                   }
                 });
     localAddress.ifPresent(source -> bootstrap.localAddress(new InetSocketAddress(source, 0)));
--- a/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
@@ -78,7 +79,7 @@
     }
     newChannel.pipeline().get(ClientConnection.class).begin(this);
     newChannel.config().setAutoRead(isReading);
-    newChannel.writeAndFlush(request);
+    newChannel.writeAndFlush(request).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
   }
 
   boolean matchesRequest(int status, HttpHeaders headers) {
@@ -99,11 +100,11 @@
     }
   }
 
-  void onEnd() {
+  void onEnd(boolean isConnectionOpen) {
     if (!markEnded()) {
       return;
     }
-    if (isReusable) {
+    if (isReusable && isConnectionOpen) {
       channel.config().setAutoRead(true);
       releaser.release(channel, idleTimeoutMillis);
     } else {
--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -16,8 +16,10 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.buckthornferry.http.HttpConnector.Reuse;
@@ -31,11 +33,15 @@
 final class HttpConnectorTest {
   private static final String RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
 
+  private static final int LARGE_BODY_BYTES = 32 << 20;
+
   private final MultithreadEventLoopGroup loops = new NioEventLoopGroup(1);
   private final HttpConnector connector = new HttpConnector(loops, 1_000);
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final AtomicInteger connections = new AtomicInteger();
+  private final Semaphore bodyReceived = new Semaphore(0);
   private ServerSocket server;
+  private ServerSocket unreadServer;
   private volatile String response = RESPONSE_HEAD + "\r\nok";
   private volatile String endlessSuffix = "";
   private final CompletableFuture<Boolean> closedByClient = new CompletableFuture<>();
@@ -45,12 +51,14 @@
   @BeforeEach
   void start() throws IOException {
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    unreadServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     threads.execute(this::accept);
   }
 
   @AfterEach
   void stop() throws IOException {
     server.close();
+    unreadServer.close();
     threads.shutdownNow();
     loops.shutdownGracefully();
   }
@@ -110,6 +118,69 @@
     assertThat(failure().mayHaveReachedServer()).isTrue();
   }
 
+  /** Guards against a reset that the client notices by a failed write and takes for the end. */
+  @Test
+  void aResponseWithoutALengthFailsIfTheConnectionBreaksWhileTheRequestIsSent() throws Exception {
+    for (int repeat = 0; repeat < 10; repeat++) {
+      threads.submit(() -> resetUnderARequest("HTTP/1.1 200 OK\r\n\r\npart"));
+      BodyListener listener = new BodyListener(bodyReceived::release);
+      post(unreadServer, listener);
+      CompletionException failed =
+          assertThrows(CompletionException.class, () -> listener.result().join());
+      assertThat(((HttpFailure) failed.getCause()).mayHaveReachedServer()).isTrue();
+    }
+  }
+
+  /** Guards against skipped responses whose broken end completes the request. */
+  @Test
+  void aSkippedResponseWithoutALengthDoesNotCompleteTheRequest() {
+    response = "HTTP/1.1 200 OK\r\nId: earlier\r\n\r\nwhole";
+    closesAfterResponse = true;
+    CompletionException failed =
+        assertThrows(
+            CompletionException.class, () -> get(Reuse.ANY, fields -> !fields.contains("Id")));
+    assertThat(failed).hasMessageThat().contains("connection closed");
+  }
+
+  /** Guards against connections that are kept after the server has closed its side. */
+  @Test
+  void doesNotReuseAConnectionThatHasEndedAResponse() {
+    response = "HTTP/1.1 200 OK\r\n\r\nwhole";
+    closesAfterResponse = true;
+    assertThat(get(Reuse.ANY).text()).isEqualTo("whole");
+    assertThat(get(Reuse.ANY).text()).isEqualTo("whole");
+    assertThat(connections.get()).isEqualTo(2);
+  }
+
+  /** Guards against early responses that break the connection or the rest of the body. */
+  @Test
+  void aServerMayRespondBeforeItReadsTheBody() throws Exception {
+    CompletableFuture<Integer> secondRequestAt = new CompletableFuture<>();
+    CountDownLatch responded = new CountDownLatch(1);
+    threads.submit(
+        () -> {
+          try (Socket socket = unreadServer.accept()) {
+            InputStream input = socket.getInputStream();
+            int headBytes = readHead(input);
+            socket.getOutputStream().write(bytes(RESPONSE_HEAD + "\r\nok"));
+            responded.await();
+            input.skipNBytes(LARGE_BODY_BYTES);
+            readHead(input);
+            socket.getOutputStream().write(bytes(RESPONSE_HEAD + "\r\nno"));
+            input.skipNBytes(LARGE_BODY_BYTES);
+            return secondRequestAt.complete(headBytes);
+          }
+        });
+    BodyListener first = new BodyListener(() -> {});
+    post(unreadServer, first);
+    assertThat(first.result().join()).isEqualTo("ok");
+    responded.countDown();
+    BodyListener second = new BodyListener(() -> {});
+    post(unreadServer, second);
+    assertThat(second.result().join()).isEqualTo("no");
+    assertThat(secondRequestAt.join()).isGreaterThan(0);
+  }
+
   @Test
   void bytesThatAreNotHttpFail() {
     response = "\u0000\u0001garbage\r\n\r\n";
@@ -217,6 +288,74 @@
     return (HttpFailure) failed.getCause();
   }
 
+  /** Sends a request whose body is larger than what the sockets take. */
+  private void post(ServerSocket receiver, HttpResponseListener listener) {
+    connector.send(
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), receiver.getLocalPort()),
+        "POST",
+        "/",
+        Map.of(),
+        new byte[LARGE_BODY_BYTES],
+        listener);
+  }
+
+  /** Sends a part of a response without reading the body, and resets the connection after it. */
+  private Void resetUnderARequest(String partOfResponse) throws Exception {
+    try (Socket socket = unreadServer.accept()) {
+      readHead(socket.getInputStream());
+      socket.getOutputStream().write(bytes(partOfResponse));
+      bodyReceived.acquire();
+      socket.setSoLinger(true, 0);
+      return null;
+    }
+  }
+
+  private static int readHead(InputStream input) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      head.append((char) input.read());
+    }
+    return head.length();
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  /** Collects a response, and runs an action when the first part of its body has arrived. */
+  private static final class BodyListener implements HttpResponseListener {
+    private final Runnable onBody;
+    private final StringBuilder body = new StringBuilder();
+    private final CompletableFuture<String> result = new CompletableFuture<>();
+
+    private BodyListener(Runnable onBody) {
+      this.onBody = onBody;
+    }
+
+    private CompletableFuture<String> result() {
+      return result;
+    }
+
+    @Override
+    public void onHead(int status, HttpHeaders headers) {}
+
+    @Override
+    public void onBody(byte[] part) {
+      body.append(new String(part, StandardCharsets.ISO_8859_1));
+      onBody.run();
+    }
+
+    @Override
+    public void onEnd() {
+      result.complete(body.toString());
+    }
+
+    @Override
+    public void onFailure(Throwable cause, boolean mayHaveReachedServer) {
+      result.completeExceptionally(new HttpFailure(cause, mayHaveReachedServer));
+    }
+  }
+
   private void accept() {
     while (!server.isClosed()) {
       try {
