Tell a cut watch from an outage of the store

Cause: a failed call began an outage that only the next answer to a watch ended, at the next change or at its timeout; each outage, however short, opened a grace period for registrations that disappear; and one end of that period held for all, so that further cuts prolonged it.

Change: after a failed call the next watch is answered at once. Registrations are bridged only after an outage at least as long as the interval at which endpoints renew them (heartbeat_ms), counted from the break of a connection, or from the sending of a call that got no response in time; and until the end of the grace period in which they disappeared.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/DeploymentController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/DeploymentController.java
@@ -109,7 +109,8 @@
 
     @Override
     public void onStoreRecovered(long outageMillis) {
-      if (outageMillis > 0) {
+      // No registration lapses in a shorter time, as when a single watch is cut.
+      if (outageMillis >= blackboard.read(OperatingBounds.ENTRY).endpointReportMillis()) {
         startGracePeriod();
       }
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointTracker.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/EndpointTracker.java
@@ -17,7 +17,8 @@
 /**
  * Determines which registered endpoints may get requests. A registration that disappears around a
  * store outage may have lapsed or, if the store was restored, may be lost although its endpoint is
- * alive, so it stays valid for a grace period.
+ * alive, so it stays valid for the rest of a grace period after that outage. Later outages do not
+ * prolong it.
  */
 final class EndpointTracker {
   private static final Logger LOG = Logger.getLogger(EndpointTracker.class);
@@ -27,12 +28,14 @@
 
   private final BiFunction<StoreItem, Long, Optional<Endpoint>> decoder;
   private final Map<String, Registration> registrations = new HashMap<>();
-  private final Map<String, Endpoint> lapsed = new HashMap<>();
+  private final Map<String, LapsedRegistration> lapsed = new HashMap<>();
   private long graceUntilNanos;
   private boolean isInGracePeriod;
 
   private record Registration(StorePosition since, Optional<Endpoint> endpoint) {}
 
+  private record LapsedRegistration(Endpoint endpoint, long usableUntilNanos) {}
+
   EndpointTracker(BiFunction<StoreItem, Long, Optional<Endpoint>> decoder) {
     this.decoder = decoder;
   }
@@ -67,23 +70,22 @@
     for (Map.Entry<String, Registration> gone : before.entrySet()) {
       LOG.infof("endpoint.gone key=%s mayHaveLapsed=%s", gone.getKey(), isInGracePeriod);
       if (isInGracePeriod && gone.getValue().endpoint.isPresent()) {
-        lapsed.put(gone.getKey(), gone.getValue().endpoint.get());
+        lapsed.put(
+            gone.getKey(), new LapsedRegistration(gone.getValue().endpoint.get(), graceUntilNanos));
       }
     }
   }
 
   /** Returns the endpoints that may get requests. */
   List<Endpoint> usable(Set<String> evacuatedDomains, long nowNanos) {
-    if (graceUntilNanos - nowNanos <= 0) {
-      lapsed.clear();
-    }
+    lapsed.values().removeIf(registration -> registration.usableUntilNanos - nowNanos <= 0);
     List<Endpoint> usable = new ArrayList<>();
     for (Registration entry : registrations.values()) {
       entry.endpoint.filter(e -> isUsable(e, evacuatedDomains)).ifPresent(usable::add);
     }
-    for (Endpoint endpoint : lapsed.values()) {
-      if (isUsable(endpoint, evacuatedDomains)) {
-        usable.add(endpoint);
+    for (LapsedRegistration registration : lapsed.values()) {
+      if (isUsable(registration.endpoint, evacuatedDomains)) {
+        usable.add(registration.endpoint);
       }
     }
     return usable;
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/OperatingBounds.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/OperatingBounds.java
@@ -15,6 +15,7 @@
  * @param contactMillis how long an instance must have run undisturbed before time bounds hold
  * @param configMillis time until a confirmed configuration is in force on all instances
  * @param drainMillis time until a leaving endpoint gets no more requests
+ * @param endpointReportMillis interval at which endpoints renew their registrations
  * @param graceMillis time from the stop signal until the process is killed
  * @param exposureShare fraction of a service's requests that an unproven version may get
  * @param exposureSlack additional such requests, over all instances
@@ -29,12 +30,13 @@
     long contactMillis,
     long configMillis,
     long drainMillis,
+    long endpointReportMillis,
     long graceMillis,
     double exposureShare,
     double exposureSlack) {
   /** Strict defaults for settings that state no bounds. */
   public static final OperatingBounds DEFAULTS =
-      new OperatingBounds(0.1, 0, 10_000, 0, 0, 10_000, 3_000, 2_000, 2_000, 8_000, 0.05, 0);
+      new OperatingBounds(0.1, 0, 10_000, 0, 0, 10_000, 3_000, 2_000, 2_000, 1_000, 8_000, 0.05, 0);
 
   /** Blackboard entry of the bounds in force. */
   public static final BlackboardEntry<OperatingBounds> ENTRY =
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/ReaderWatch.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/ReaderWatch.java
@@ -53,15 +53,16 @@
   }
 
   @Override
-  public CompletableFuture<ObservedChanges> changesAfter(StorePosition position) {
+  public CompletableFuture<ObservedChanges> changesAfter(
+      StorePosition position, long maxWaitMillis) {
     FleetView fleet = blackboard.read(FleetView.ENTRY);
     selector.retainRegistered(fleet);
     Optional<String> reader = selector.selectReader(fleet, clock.nanoTime());
     if (reader.isEmpty()) {
-      return storeWatch.changesAfter(position);
+      return storeWatch.changesAfter(position, maxWaitMillis);
     }
     return Completions.thenOnOutcome(
-        poll(fleet.listed().get(reader.get()), position),
+        poll(fleet.listed().get(reader.get()), position, maxWaitMillis),
         (observed, failure) -> {
           if (failure == null) {
             selector.onAnswered(reader.get());
@@ -75,17 +76,18 @@
               "store.reader_passed_over reader=%s position=%s reason=\"%s\"",
               reader.get(), position, failure.getMessage());
           selector.onFailed(reader.get(), clock.nanoTime());
-          return storeWatch.changesAfter(position);
+          return storeWatch.changesAfter(position, maxWaitMillis);
         });
   }
 
   private CompletableFuture<ObservedChanges> poll(
-      InetSocketAddress reader, StorePosition position) {
+      InetSocketAddress reader, StorePosition position, long maxWaitMillis) {
     ReaderTimeouts timeouts = ReaderTimeouts.of(blackboard.read(OperatingBounds.ENTRY));
     long sentNanos = clock.nanoTime();
     byte[] message =
         ChangeMessages.encodeRequest(
-            new ChangeMessages.Request(position, timeouts.pollWaitMillis()));
+            new ChangeMessages.Request(
+                position, Math.min(timeouts.pollWaitMillis(), maxWaitMillis)));
     return peers
         .call(reader, PeerMessageKind.CHANGES, message, timeouts.replyTimeoutMillis())
         .thenCompose(
--- a/buckthornferry/src/main/java/org/buckthornferry/store/ChangeSource.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/ChangeSource.java
@@ -7,10 +7,11 @@
 public interface ChangeSource {
   /**
    * Returns the changes after a position as soon as there is one, or an empty batch after a
-   * timeout. Fails with {@link StoreException}, of kind {@code HISTORY_LOST} when the source no
-   * longer has all changes since that position, also because a new era has begun.
+   * timeout, which is the source's own or {@code maxWaitMillis} if that is shorter. Fails with
+   * {@link StoreException}, of kind {@code HISTORY_LOST} when the source no longer has all changes
+   * since that position, also because a new era has begun.
    */
-  CompletableFuture<ObservedChanges> changesAfter(StorePosition position);
+  CompletableFuture<ObservedChanges> changesAfter(StorePosition position, long maxWaitMillis);
 
   /**
    * Changes, and the time up to which they are complete.
--- a/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -46,6 +46,12 @@
    */
   private static final long BATCH_DELAY_MILLIS = 150;
 
+  /**
+   * The timeout of a watch after a failed call, in milliseconds: the response tells at once that
+   * the store is reachable, without waiting for a change.
+   */
+  private static final long PROBE_WAIT_MILLIS = 1;
+
   private final SharedStore store;
   private final String prefix;
   private final ChangeSource source;
@@ -57,7 +63,7 @@
   private State state = State.NEW;
   private Scheduler.Task expiry = Scheduler.Task.NONE;
   private long asOfNanos;
-  private long unreachableSinceNanos;
+  private OptionalLong unreachableSinceNanos = OptionalLong.empty();
   private long lastChangeNanos;
   private boolean reachable;
   private int consecutiveFailures;
@@ -81,7 +87,9 @@
     /**
      * Called when the store answers for the first time or again after failures.
      *
-     * @param outageMillis the time since the first failed call; 0 when no call has failed
+     * @param outageMillis for how long the store may have been unreachable: the time since the
+     *     first call that failed, or if that got no response in time, since it was sent; 0 when no
+     *     call has failed
      */
     void onReachable(long outageMillis);
 
@@ -268,7 +276,7 @@
         store.list(prefix, afterKey),
         (page, failure) -> {
           if (failure != null) {
-            onFailure(StoreException.kindOf(failure));
+            onFailure(failure, sentNanos);
             return;
           }
           boolean isFirst = first.equals(StorePosition.NONE);
@@ -287,7 +295,9 @@
           if (copy.position().isAfter(from)) {
             LOG.warnf(
                 "store.listing_ignored prefix=%s listed=%s known=%s", prefix, from, position());
-            onFailure(Kind.OUTCOME_UNKNOWN);
+            onFailure(
+                new StoreException(Kind.OUTCOME_UNKNOWN, "the listing is older than the copy"),
+                sentNanos);
             return;
           }
           onSuccess();
@@ -354,11 +364,12 @@
       return;
     }
     state = State.WATCHING;
+    long sentNanos = clock.nanoTime();
     Completions.onComplete(
-        source.changesAfter(copy.position()),
+        source.changesAfter(copy.position(), reachable ? Long.MAX_VALUE : PROBE_WAIT_MILLIS),
         (observed, failure) -> {
           if (failure != null) {
-            onFailure(StoreException.kindOf(failure));
+            onFailure(failure, sentNanos);
             return;
           }
           hasWatchedSinceListing = true;
@@ -393,25 +404,28 @@
     if (!reachable) {
       reachable = true;
       long outageMillis =
-          unreachableSinceNanos == 0
+          unreachableSinceNanos.isEmpty()
               ? 0
-              : TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - unreachableSinceNanos);
+              : TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - unreachableSinceNanos.getAsLong());
       listener.onReachable(outageMillis);
     }
   }
 
-  private void onFailure(Kind reason) {
+  private void onFailure(Throwable failure, long sentNanos) {
     if (state == State.STOPPED) {
       return;
     }
+    Kind reason = StoreException.kindOf(failure);
     if (reason == Kind.HISTORY_LOST && hasWatchedSinceListing) {
       LOG.infof("store.history_lost prefix=%s position=%s", prefix, position());
       list();
       return;
     }
-    if (reachable || unreachableSinceNanos == 0) {
+    if (reachable || unreachableSinceNanos.isEmpty()) {
       reachable = false;
-      unreachableSinceNanos = clock.nanoTime();
+      // A connection that breaks has been open until then, so an outage did not begin before.
+      unreachableSinceNanos =
+          OptionalLong.of(StoreException.isTimeout(failure) ? sentNanos : clock.nanoTime());
       listener.onUnreachable(reason);
     }
     consecutiveFailures++;
--- a/buckthornferry/src/main/java/org/buckthornferry/store/StoreChangeSource.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreChangeSource.java
@@ -28,9 +28,10 @@
   }
 
   @Override
-  public CompletableFuture<ObservedChanges> changesAfter(StorePosition position) {
+  public CompletableFuture<ObservedChanges> changesAfter(
+      StorePosition position, long maxWaitMillis) {
     long sentNanos = clock.nanoTime();
-    long wait = waitMillis.getAsLong();
+    long wait = Math.min(waitMillis.getAsLong(), maxWaitMillis);
     return store
         .watch(prefix, position.revision(), wait)
         .thenApply(
--- a/buckthornferry/src/main/java/org/buckthornferry/store/StoreException.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreException.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.store;
 
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
 import org.buckthornferry.http.HttpFailure;
 import org.buckthornferry.util.Checks;
 
@@ -34,6 +35,16 @@
     this.kind = Checks.notNull(kind, "kind");
   }
 
+  private StoreException(Kind kind, Throwable cause) {
+    super(String.valueOf(cause.getMessage()), cause);
+    this.kind = kind;
+  }
+
+  /** Creates the exception of a call that got no response in time. */
+  public static StoreException timedOut(TimeoutException cause) {
+    return new StoreException(Kind.OUTCOME_UNKNOWN, cause);
+  }
+
   /** Returns the kind of the failure. */
   public Kind kind() {
     return kind;
@@ -46,8 +57,16 @@
   public static StoreException fromHttpFailure(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     boolean bytesSent = !(cause instanceof HttpFailure known) || known.mayHaveReachedServer();
-    return new StoreException(
-        bytesSent ? Kind.OUTCOME_UNKNOWN : Kind.UNAVAILABLE, String.valueOf(cause.getMessage()));
+    return new StoreException(bytesSent ? Kind.OUTCOME_UNKNOWN : Kind.UNAVAILABLE, cause);
+  }
+
+  /** Returns whether a call has failed because no response arrived in time. */
+  public static boolean isTimeout(Throwable failure) {
+    Throwable cause = failure;
+    while (cause != null && !(cause instanceof TimeoutException)) {
+      cause = cause.getCause();
+    }
+    return cause != null;
   }
 
   /** Returns the kind of a future's failure; other exceptions count as an unknown outcome. */
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointTrackerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/EndpointTrackerTest.java
@@ -51,6 +51,17 @@
     assertThat(ids(Set.of(), millis(5_000 + EndpointTracker.LAPSE_GRACE_MILLIS))).isEmpty();
   }
 
+  /** Guards against endpoints that are kept for as long as outages follow each other. */
+  @Test
+  void aFurtherOutageDoesNotProlongTheGracePeriodOfALapsedRegistration() {
+    tracker.update(List.of(item("a ready z1", 1)), 0);
+    tracker.onStoreRecovered(millis(5_000));
+    tracker.update(List.of(), millis(5_010));
+    tracker.onStoreRecovered(millis(6_500));
+    assertThat(ids(Set.of(), millis(6_900))).containsExactly("a");
+    assertThat(ids(Set.of(), millis(5_000 + EndpointTracker.LAPSE_GRACE_MILLIS))).isEmpty();
+  }
+
   @Test
   void doesNotUseALapsedEndpointThatWasDraining() {
     tracker.update(List.of(item("a draining z1", 1)), 0);
@@ -76,7 +87,8 @@
         new StorePosition(1, revision));
   }
 
-  private static Optional<Endpoint> decode(StoreItem item, long nowNanos) {
+  /** Decodes a registration of the form {@code ID STATE DOMAIN}. */
+  static Optional<Endpoint> decode(StoreItem item, long nowNanos) {
     List<String> words = List.of(item.text().split(" ", -1));
     if (words.get(1).equals("unreadable")) {
       return Optional.empty();
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/RolloutCoordinatorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/RolloutCoordinatorTest.java
@@ -3,23 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
-import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import org.buckthornferry.catalog.Catalog;
 import org.buckthornferry.catalog.Endpoint;
-import org.buckthornferry.catalog.VersionChange;
 import org.buckthornferry.dispatch.VersionPolicy;
 import org.buckthornferry.http.Addresses;
 import org.buckthornferry.rollout.CanaryTrial.Ending;
-import org.buckthornferry.rollout.RolloutPhase;
 import org.buckthornferry.store.StoreException.Kind;
-import org.buckthornferry.store.StoreItem;
 import org.buckthornferry.testing.FakeSharedStore;
 import org.buckthornferry.testing.ManualScheduler;
 import org.buckthornferry.testing.VirtualInstances;
@@ -457,6 +449,7 @@
                   3_000,
                   2_000,
                   2_000,
+                  1_000,
                   8_000,
                   EXPOSURE_SHARE,
                   EXPOSURE_SLACK));
@@ -466,7 +459,7 @@
       coordinator =
           new RolloutCoordinator(
               view,
-              new TestDeploymentSource(),
+              new TestDeploymentSource(SERVICE, DURATION_MILLIS),
               blackboard,
               peers,
               id,
@@ -482,74 +475,4 @@
       return coordinator.policy(SERVICE);
     }
   }
-
-  private static final class TestDeploymentSource implements DeploymentSource {
-    @Override
-    public String operatorPrefix() {
-      return "order/";
-    }
-
-    @Override
-    public String endpointPrefix() {
-      return "endpoint/";
-    }
-
-    @Override
-    public Optional<Catalog> catalog(Collection<StoreItem> operatorItems) {
-      return Optional.empty();
-    }
-
-    @Override
-    public Set<String> evacuatedDomains(Collection<StoreItem> operatorItems) {
-      return Set.of();
-    }
-
-    @Override
-    public Collection<VersionChange> versionOrders(Collection<StoreItem> operatorItems) {
-      return operatorItems.stream()
-          .map(
-              item ->
-                  new VersionChange(
-                      SERVICE, item.text(), DURATION_MILLIS, item.since(), item.revision()))
-          .toList();
-    }
-
-    @Override
-    public boolean supersedes(StoreItem item, StoreItem other) {
-      return false;
-    }
-
-    @Override
-    public String rolloutPrefix() {
-      return "state/";
-    }
-
-    @Override
-    public String rolloutKey(String serviceName) {
-      return "state/" + serviceName;
-    }
-
-    @Override
-    public byte[] encodeRollout(String serviceName, String targetVersion, RolloutPhase phase) {
-      return (targetVersion + " " + phase).getBytes(StandardCharsets.UTF_8);
-    }
-
-    @Override
-    public Optional<RolloutRecord> decodeRollout(StoreItem item) {
-      String[] words = item.text().split(" ", 2);
-      return Optional.of(
-          new RolloutRecord(
-              SERVICE,
-              words[0],
-              RolloutPhase.valueOf(words[1]),
-              item.since(),
-              item.revision(),
-              item.isStored()));
-    }
-
-    @Override
-    public Optional<Endpoint> endpoint(StoreItem registration, long nowNanos) {
-      return Optional.empty();
-    }
-  }
 }
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/SharedAllowancesTest.java
@@ -501,6 +501,7 @@
                     3_000,
                     2_000,
                     2_000,
+                    1_000,
                     8_000,
                     0.1,
                     50));
--- a/buckthornferry/src/test/java/org/buckthornferry/store/PrefixFollowerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/store/PrefixFollowerTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 final class PrefixFollowerTest {
-  private final FakeSharedStore store = new FakeSharedStore();
   private final ManualScheduler time = new ManualScheduler();
+  private final FakeSharedStore store = new FakeSharedStore(time);
   private final List<String> events = new ArrayList<>();
   private final PrefixFollower follower =
       new PrefixFollower(
@@ -83,6 +83,18 @@
     assertThat(events).contains("back");
   }
 
+  /** Guards against outages that last until the next change although only one watch was cut. */
+  @Test
+  void noticesAtOnceThatTheStoreAnswersAfterACutWatch() {
+    follower.start();
+    time.advance(500);
+    store.endWatches(Kind.OUTCOME_UNKNOWN);
+    assertThat(events).contains("unreachable OUTCOME_UNKNOWN");
+    time.advance(300);
+    assertThat(follower.isReachable()).isTrue();
+    assertThat(events).contains("back");
+  }
+
   @Test
   void limitsItsCallsWhileTheStoreIsRateLimited() {
     store.failWith(Kind.RATE_LIMITED);
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import org.buckthornferry.store.ChangeBatch;
 import org.buckthornferry.store.Lease;
 import org.buckthornferry.store.SharedStore;
@@ -145,6 +146,14 @@
     endWatches(Kind.OUTCOME_UNKNOWN);
   }
 
+  /** Ends the waiting watches as the timeout of a client does that has got no response. */
+  public void timeOutWatches() {
+    List<Watch> ending = List.copyOf(watches);
+    watches.clear();
+    StoreException failure = StoreException.timedOut(new TimeoutException("no response"));
+    ending.forEach(watch -> watch.result.completeExceptionally(failure));
+  }
+
   /** Ends the waiting watches: with an answer without changes, or with a failure. */
   public void endWatches(Kind kind) {
     List<Watch> ending = List.copyOf(watches);
