Count an outage from the sending of a watch that was refused

A watch that had waited while the store turned to refusing calls learns of it at its end only, so that an outage of two seconds could count as a few hundred milliseconds and a registration that lapsed in it was dropped at once.

Change: only a broken connection dates the outage to its break; every other failure dates it to the sending of the call.

--- a/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/PrefixFollower.java
@@ -88,8 +88,7 @@
      * Called when the store answers for the first time or again after failures.
      *
      * @param outageMillis for how long the store may have been unreachable: the time since the
-     *     first call that failed, or if that got no response in time, since it was sent; 0 when no
-     *     call has failed
+     *     first call that failed was sent, or since its connection broke; 0 when no call has failed
      */
     void onReachable(long outageMillis);
 
@@ -423,9 +422,10 @@
     }
     if (reachable || unreachableSinceNanos.isEmpty()) {
       reachable = false;
-      // A connection that breaks has been open until then, so an outage did not begin before.
+      // A connection that breaks has been open until then; other calls may have failed all along.
       unreachableSinceNanos =
-          OptionalLong.of(StoreException.isTimeout(failure) ? sentNanos : clock.nanoTime());
+          OptionalLong.of(
+              StoreException.isBrokenConnection(failure) ? clock.nanoTime() : sentNanos);
       listener.onUnreachable(reason);
     }
     consecutiveFailures++;
--- a/buckthornferry/src/main/java/org/buckthornferry/store/StoreException.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreException.java
@@ -1,7 +1,7 @@
 package org.buckthornferry.store;
 
+import java.io.IOException;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeoutException;
 import org.buckthornferry.http.HttpFailure;
 import org.buckthornferry.util.Checks;
 
@@ -40,8 +40,8 @@
     this.kind = kind;
   }
 
-  /** Creates the exception of a call that got no response in time. */
-  public static StoreException timedOut(TimeoutException cause) {
+  /** Creates the exception of a call whose connection broke before the response. */
+  public static StoreException connectionBroken(IOException cause) {
     return new StoreException(Kind.OUTCOME_UNKNOWN, cause);
   }
 
@@ -60,10 +60,10 @@
     return new StoreException(bytesSent ? Kind.OUTCOME_UNKNOWN : Kind.UNAVAILABLE, cause);
   }
 
-  /** Returns whether a call has failed because no response arrived in time. */
-  public static boolean isTimeout(Throwable failure) {
+  /** Returns whether a call has failed because its connection broke or could not be opened. */
+  public static boolean isBrokenConnection(Throwable failure) {
     Throwable cause = failure;
-    while (cause != null && !(cause instanceof TimeoutException)) {
+    while (cause != null && !(cause instanceof IOException)) {
       cause = cause.getCause();
     }
     return cause != null;
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/DeploymentControllerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/DeploymentControllerTest.java
@@ -45,7 +45,7 @@
   @Test
   void dropsARemovedEndpointAtOnceAfterACutWatch() {
     time.advance(700);
-    store.endWatches(Kind.OUTCOME_UNKNOWN);
+    store.cutWatches();
     time.advance(700);
     store.remove("endpoint/a");
     time.advance(1);
@@ -57,15 +57,15 @@
   void dropsARemovedEndpointInTimeWhileEveryWatchIsCut() {
     for (int i = 0; i < 20; i++) {
       time.advance(700);
-      store.endWatches(Kind.OUTCOME_UNKNOWN);
+      store.cutWatches();
       store.put("endpoint/c", "c ready z" + i);
     }
-    store.endWatches(Kind.OUTCOME_UNKNOWN);
+    store.cutWatches();
     store.remove("endpoint/a");
     for (int i = 0; i < 5; i++) {
       time.advance(350);
       assertThat(usable()).containsExactly("b", "c");
-      store.endWatches(Kind.OUTCOME_UNKNOWN);
+      store.cutWatches();
     }
   }
 
@@ -101,7 +101,7 @@
   @Test
   void keepsARegistrationThatLapsedWhileAWatchGotNoResponse() {
     time.advance(WATCH_MILLIS - 100);
-    store.timeOutWatches();
+    store.endWatches(Kind.OUTCOME_UNKNOWN);
     store.remove("endpoint/a");
     time.advance(700);
     assertThat(view.isReachable()).isTrue();
@@ -110,6 +110,17 @@
     assertThat(usable()).containsExactly("b");
   }
 
+  /** Guards against lapses in an outage that a waiting watch learns of at its end only. */
+  @Test
+  void keepsARegistrationThatLapsedBeforeAWatchWasRefused() {
+    time.advance(WATCH_MILLIS - 100);
+    store.endWatches(Kind.UNAVAILABLE);
+    time.advance(700);
+    store.remove("endpoint/a");
+    time.advance(1);
+    assertThat(usable()).containsExactly("a", "b");
+  }
+
   private List<String> usable() {
     return blackboard.read(EndpointList.ENTRY).endpoints().stream()
         .map(Endpoint::id)
--- a/buckthornferry/src/test/java/org/buckthornferry/store/PrefixFollowerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/store/PrefixFollowerTest.java
@@ -88,7 +88,7 @@
   void noticesAtOnceThatTheStoreAnswersAfterACutWatch() {
     follower.start();
     time.advance(500);
-    store.endWatches(Kind.OUTCOME_UNKNOWN);
+    store.cutWatches();
     assertThat(events).contains("unreachable OUTCOME_UNKNOWN");
     time.advance(300);
     assertThat(follower.isReachable()).isTrue();
--- a/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/testing/FakeSharedStore.java
@@ -1,5 +1,6 @@
 package org.buckthornferry.testing;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,7 +8,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeoutException;
 import org.buckthornferry.store.ChangeBatch;
 import org.buckthornferry.store.Lease;
 import org.buckthornferry.store.SharedStore;
@@ -146,11 +146,11 @@
     endWatches(Kind.OUTCOME_UNKNOWN);
   }
 
-  /** Ends the waiting watches as the timeout of a client does that has got no response. */
-  public void timeOutWatches() {
+  /** Breaks the connections of the waiting watches; the store itself goes on. */
+  public void cutWatches() {
     List<Watch> ending = List.copyOf(watches);
     watches.clear();
-    StoreException failure = StoreException.timedOut(new TimeoutException("no response"));
+    StoreException failure = StoreException.connectionBroken(new IOException("cut"));
     ending.forEach(watch -> watch.result.completeExceptionally(failure));
   }
 
