--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultithreadEventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -46,7 +47,10 @@
   private final AtomicInteger connections = new AtomicInteger();
   private final Semaphore bodyReceived = new Semaphore(0);
   private ServerSocket server;
-  private ServerSocket unreadServer;
+
+  /** Serves no connection by itself; each test that uses it does. */
+  private ServerSocket scriptedServer;
+
   private volatile String response = RESPONSE_HEAD + "\r\nok";
   private volatile String endlessSuffix = "";
   private final CompletableFuture<Boolean> closedByClient = new CompletableFuture<>();
@@ -56,14 +60,14 @@
   @BeforeEach
   void start() throws IOException {
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    unreadServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    scriptedServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     threads.execute(this::accept);
   }
 
   @AfterEach
   void stop() throws IOException {
     server.close();
-    unreadServer.close();
+    scriptedServer.close();
     threads.shutdownNow();
     loops.shutdownGracefully();
   }
@@ -129,7 +133,7 @@
     for (int repeat = 0; repeat < 10; repeat++) {
       threads.submit(() -> resetUnderARequest("HTTP/1.1 200 OK\r\n\r\npart"));
       BodyListener listener = new BodyListener(bodyReceived::release);
-      post(unreadServer, listener);
+      post(scriptedServer, listener);
       CompletionException failed =
           assertThrows(CompletionException.class, () -> listener.result().join());
       assertThat(((HttpFailure) failed.getCause()).mayHaveReachedServer()).isTrue();
@@ -160,30 +164,30 @@
   /** Guards against early responses that break the connection or the rest of the body. */
   @Test
   void aServerMayRespondBeforeItReadsTheBody() throws Exception {
-    CompletableFuture<Integer> secondRequestAt = new CompletableFuture<>();
     CountDownLatch responded = new CountDownLatch(1);
-    threads.submit(
-        () -> {
-          try (Socket socket = unreadServer.accept()) {
-            InputStream input = socket.getInputStream();
-            int headBytes = readHead(input);
-            socket.getOutputStream().write(bytes(RESPONSE_HEAD + "\r\nok"));
-            responded.await();
-            input.skipNBytes(LARGE_BODY_BYTES);
-            readHead(input);
-            socket.getOutputStream().write(bytes(RESPONSE_HEAD + "\r\nno"));
-            input.skipNBytes(LARGE_BODY_BYTES);
-            return secondRequestAt.complete(headBytes);
-          }
-        });
+    Future<?> served =
+        threads.submit(
+            () -> {
+              try (Socket socket = scriptedServer.accept()) {
+                InputStream input = socket.getInputStream();
+                readHead(input);
+                socket.getOutputStream().write(bytes(RESPONSE_HEAD + "\r\nok"));
+                responded.await();
+                input.skipNBytes(LARGE_BODY_BYTES);
+                readHead(input);
+                socket.getOutputStream().write(bytes(RESPONSE_HEAD + "\r\nno"));
+                input.skipNBytes(LARGE_BODY_BYTES);
+                return null;
+              }
+            });
     BodyListener first = new BodyListener(() -> {});
-    post(unreadServer, first);
+    post(scriptedServer, first);
     assertThat(first.result().join()).isEqualTo("ok");
     responded.countDown();
     BodyListener second = new BodyListener(() -> {});
-    post(unreadServer, second);
+    post(scriptedServer, second);
     assertThat(second.result().join()).isEqualTo("no");
-    assertThat(secondRequestAt.join()).isGreaterThan(0);
+    served.get();
   }
 
   @Test
@@ -255,7 +259,7 @@
       String fragment = EARLIER_RESPONSE.substring(0, fragmentBytes);
       threads.submit(
           () -> {
-            try (Socket socket = unreadServer.accept()) {
+            try (Socket socket = scriptedServer.accept()) {
               readHead(socket.getInputStream());
               socket.getOutputStream().write(bytes(EARLIER_RESPONSE));
               readHead(socket.getInputStream());
@@ -263,8 +267,8 @@
               return null;
             }
           });
-      assertThat(getUnread().status()).isEqualTo(200);
-      CompletableFuture<HttpReply> second = sendUnread();
+      assertThat(getFromScripted().status()).isEqualTo(200);
+      CompletableFuture<HttpReply> second = sendToScripted();
       int status = second.handle((reply, failure) -> failure == null ? reply.status() : 0).join();
       assertWithMessage(fragment).that(status).isAnyOf(0, 500);
     }
@@ -279,7 +283,7 @@
       Future<Boolean> isClosed =
           threads.submit(
               () -> {
-                try (Socket socket = unreadServer.accept()) {
+                try (Socket socket = scriptedServer.accept()) {
                   readHead(socket.getInputStream());
                   socket.getOutputStream().write(bytes(EARLIER_RESPONSE));
                   responded.join();
@@ -287,7 +291,7 @@
                   return socket.getInputStream().read() < 0;
                 }
               });
-      assertThat(getUnread().status()).isEqualTo(200);
+      assertThat(getFromScripted().status()).isEqualTo(200);
       responded.complete(null);
       assertThat(isClosed.get()).isTrue();
     }
@@ -360,12 +364,12 @@
     return (HttpFailure) failed.getCause();
   }
 
-  private CompletableFuture<HttpReply> sendUnread() {
-    return connector.exchange(address(unreadServer), "GET", "/", Map.of(), new byte[0], 60_000);
+  private CompletableFuture<HttpReply> sendToScripted() {
+    return connector.exchange(address(scriptedServer), "GET", "/", Map.of(), new byte[0], 60_000);
   }
 
-  private HttpReply getUnread() {
-    return sendUnread().join();
+  private HttpReply getFromScripted() {
+    return sendToScripted().join();
   }
 
   private static InetSocketAddress address(ServerSocket socket) {
@@ -379,7 +383,7 @@
 
   /** Sends a part of a response without reading the body, and resets the connection after it. */
   private Void resetUnderARequest(String partOfResponse) throws Exception {
-    try (Socket socket = unreadServer.accept()) {
+    try (Socket socket = scriptedServer.accept()) {
       readHead(socket.getInputStream());
       socket.getOutputStream().write(bytes(partOfResponse));
       bodyReceived.acquire();
@@ -388,12 +392,15 @@
     }
   }
 
-  private static int readHead(InputStream input) throws IOException {
+  private static void readHead(InputStream input) throws IOException {
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
-      head.append((char) input.read());
+      int next = input.read();
+      if (next < 0) {
+        throw new EOFException("connection closed after: " + head);
+      }
+      head.append((char) next);
     }
-    return head.length();
   }
 
   private static byte[] bytes(String text) {
