Share the end of the tests of bridged registrations

Three tests of DeploymentControllerTest ended with the same three lines; the assertions are unchanged.

--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/DeploymentControllerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/DeploymentControllerTest.java
@@ -78,9 +78,7 @@
     store.failWith(null);
     time.advance(700);
     assertThat(view.isReachable()).isTrue();
-    assertThat(usable()).containsExactly("a", "b");
-    time.advance(EndpointTracker.LAPSE_GRACE_MILLIS);
-    assertThat(usable()).containsExactly("b");
+    assertIsUsableForTheGracePeriod();
   }
 
   @Test
@@ -92,9 +90,7 @@
     time.advance(700);
     store.remove("endpoint/a");
     time.advance(1);
-    assertThat(usable()).containsExactly("a", "b");
-    time.advance(EndpointTracker.LAPSE_GRACE_MILLIS);
-    assertThat(usable()).containsExactly("b");
+    assertIsUsableForTheGracePeriod();
   }
 
   /** Guards against lapses in an outage of which only one unanswered watch tells. */
@@ -105,9 +101,7 @@
     store.remove("endpoint/a");
     time.advance(700);
     assertThat(view.isReachable()).isTrue();
-    assertThat(usable()).containsExactly("a", "b");
-    time.advance(EndpointTracker.LAPSE_GRACE_MILLIS);
-    assertThat(usable()).containsExactly("b");
+    assertIsUsableForTheGracePeriod();
   }
 
   /** Guards against lapses in an outage that a waiting watch learns of at its end only. */
@@ -121,6 +115,12 @@
     assertThat(usable()).containsExactly("a", "b");
   }
 
+  private void assertIsUsableForTheGracePeriod() {
+    assertThat(usable()).containsExactly("a", "b");
+    time.advance(EndpointTracker.LAPSE_GRACE_MILLIS);
+    assertThat(usable()).containsExactly("b");
+  }
+
   private List<String> usable() {
     return blackboard.read(EndpointList.ENTRY).endpoints().stream()
         .map(Endpoint::id)
