Log on which connection an answer came

attempt.failed, request.ended and answer.skipped name the local port and the number of the request on its connection, so that the request that used the connection before can be found.

--- a/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
@@ -32,16 +32,20 @@
   private boolean isSkipping;
   private int skippedResponses;
   private long skippedBytes;
+  private long requests;
 
   ClientConnection(ResponseDecoder decoder) {
     this.decoder = decoder;
   }
 
-  void begin(PendingCall newCall, boolean isHeadRequest) {
+  /** Expects the response to a call; returns the number of the call on this connection. */
+  long begin(PendingCall newCall, boolean isHeadRequest) {
+    requests++;
     call = newCall;
     decoder.expectResponse(isHeadRequest);
     skippedResponses = 0;
     skippedBytes = 0;
+    return requests;
   }
 
   @Override
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpCall.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpCall.java
@@ -10,6 +10,11 @@
 
         @Override
         public void setReading(boolean reading) {}
+
+        @Override
+        public String connectionLabel() {
+          return "-";
+        }
       };
 
   /** Cancels the request and closes its connection; the listener is not called again. */
@@ -17,4 +22,10 @@
 
   /** Pauses or resumes reading the response, for back-pressure. */
   void setReading(boolean reading);
+
+  /**
+   * Returns on which connection the request was sent, for logs: the local port and the number of
+   * the request on the connection, or {@code -} if it has not been sent.
+   */
+  String connectionLabel();
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.OptionalLong;
 
 /** State of a request from connecting to the end of the response. */
@@ -25,6 +26,7 @@
   private Channel channel;
   private boolean isReusable;
   private OptionalLong idleTimeoutMillis = OptionalLong.empty();
+  private volatile String connectionLabel = "-";
 
   /** Returns a connection to the pool after the response has ended. */
   @FunctionalInterface
@@ -78,10 +80,12 @@
       listener.onFailure(new IOException("connection closed before the request was sent"), false);
       return;
     }
-    newChannel
-        .pipeline()
-        .get(ClientConnection.class)
-        .begin(this, request.method().equals(HttpMethod.HEAD));
+    long number =
+        newChannel
+            .pipeline()
+            .get(ClientConnection.class)
+            .begin(this, request.method().equals(HttpMethod.HEAD));
+    connectionLabel = ((InetSocketAddress) newChannel.localAddress()).getPort() + "#" + number;
     newChannel.config().setAutoRead(isReading);
     newChannel.writeAndFlush(request).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
   }
@@ -143,6 +147,11 @@
     }
   }
 
+  @Override
+  public String connectionLabel() {
+    return connectionLabel;
+  }
+
   private synchronized boolean isActive() {
     return state == State.SENT;
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointClient.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointClient.java
@@ -214,6 +214,11 @@
       connectorCall.setReading(reading);
     }
 
+    @Override
+    public String connectionLabel() {
+      return peerId + ":" + connectorCall.connectionLabel();
+    }
+
     private void end() {
       if (!hasEnded) {
         hasEnded = true;
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -480,7 +480,7 @@
     mayHaveRun |= !wasNotRun;
     LOG.infof(
         "attempt.failed id=%s endpoint=%s kind=%s notRun=%s detail=\"%s\" repeats=%s events=%d"
-            + " elapsedMillis=%d content=%s parts=%s",
+            + " elapsedMillis=%d connection=%s content=%s parts=%s",
         request.requestId(),
         failed.placement.endpoint().id(),
         kind,
@@ -489,6 +489,7 @@
         willRetry,
         failed.events,
         elapsedMillis(),
+        failed.call.connectionLabel(),
         request.contentHash(customer),
         String.join("/", request.promptPartIds()));
     if (willRetry) {
@@ -542,13 +543,15 @@
 
   private void respond(Attempt completed) {
     LOG.infof(
-        "request.ended id=%s endpoint=%s status=%d attempts=%d events=%d elapsedMillis=%d",
+        "request.ended id=%s endpoint=%s status=%d attempts=%d events=%d elapsedMillis=%d"
+            + " connection=%s",
         request.requestId(),
         completed.placement.endpoint().id(),
         completed.head.status(),
         attempts,
         completed.events,
-        elapsedMillis());
+        elapsedMillis(),
+        completed.call.connectionLabel());
     environment.metrics().served.inc();
     environment.metrics().totalMillis.update(elapsedMillis());
     end();
@@ -630,7 +633,7 @@
     private final long sentNanos = environment.clock().nanoTime();
     private final EventSplitter splitter = new EventSplitter();
     private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream(256);
-    private HttpCall call;
+    private HttpCall call = HttpCall.NONE;
     private ResponseHead head;
     private Scheduler.Task stallTask = Scheduler.Task.NONE;
     private long lastProgressNanos = sentNanos;
@@ -762,8 +765,9 @@
       boolean isMatch = environment.endpoints().isResponseTo(request.requestId(), headers);
       if (!isMatch) {
         LOG.infof(
-            "answer.skipped id=%s endpoint=%s status=%d reason=\"response to another request\"",
-            request.requestId(), placement.endpoint().id(), status);
+            "answer.skipped id=%s endpoint=%s status=%d connection=%s"
+                + " reason=\"response to another request\"",
+            request.requestId(), placement.endpoint().id(), status, call.connectionLabel());
       }
       return isMatch;
     }
