Send a request id once on a connection

A request that got 421 went on to the process that now has the address, over the connection that had brought the 421. A late copy of that 421 has the right id, and was taken for the answer of the second send: the request counted as not run, was refused or sent to a third endpoint, and ran.

The class: answers are told apart by the request's id, which only works while a connection carries an id once. The connector now keeps the hashes of the ids that a connection has carried, gives it to no other request with the same one, and retires it after 1,000 ids. This holds for all users of the connector: attempts, requests passed on for other instances, and their way through these.

--- a/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import org.agrona.collections.IntHashSet;
 
 /** Channel handler that passes the response on one connection to the pending call. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
@@ -23,7 +24,14 @@
   /** The maximum size of skipped bodies for one request; a typical response is far smaller. */
   private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+  /** The maximum number of request ids on one connection; bounds the memory for them. */
+  private static final int MAX_REQUEST_IDS = 1_000;
+
   private final ResponseDecoder decoder;
+
+  /** The hashes of the ids of all requests; requests with equal ones use other connections. */
+  private final IntHashSet requestIdHashes = new IntHashSet();
+
   private PendingCall call;
 
   /** The call whose response is complete, until the end of the read shows if more bytes follow. */
@@ -41,6 +49,9 @@
   /** Expects the response to a call; returns the number of the call on this connection. */
   long begin(PendingCall newCall, boolean isHeadRequest) {
     requests++;
+    if (!newCall.requestId().isEmpty()) {
+      requestIdHashes.add(newCall.requestId().hashCode());
+    }
     call = newCall;
     decoder.expectResponse(isHeadRequest);
     skippedResponses = 0;
@@ -48,6 +59,16 @@
     return requests;
   }
 
+  /** Returns whether a request may be sent as far as its id is concerned. */
+  boolean mayCarry(String requestId) {
+    return requestId.isEmpty() || !requestIdHashes.contains(requestId.hashCode());
+  }
+
+  /** Returns whether the connection may be kept for further requests. */
+  boolean canCarryMore() {
+    return requestIdHashes.size() < MAX_REQUEST_IDS;
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     if (call == null || message.decoderResult().isFailure()) {
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -24,6 +24,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -95,7 +97,8 @@
     ANY
   }
 
-  private record IdleChannel(Channel channel, long reusableUntilNanos) {
+  private record IdleChannel(
+      Channel channel, ClientConnection connection, long reusableUntilNanos) {
     boolean isReusable(long nowNanos) {
       return channel.isActive() && reusableUntilNanos - nowNanos > 0;
     }
@@ -227,7 +230,7 @@
     PendingCall call =
         new PendingCall(
             request, listener, (channel, idleMillis) -> release(address, channel, idleMillis));
-    Channel reused = takeIdle(address, reuse);
+    Channel reused = takeIdle(address, reuse, listener.requestId());
     if (reused != null) {
       call.sendOn(reused);
     } else {
@@ -334,38 +337,57 @@
             HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, /* ignoreCase= */ true);
   }
 
-  private Channel takeIdle(InetSocketAddress address, Reuse reuse) {
+  /** Returns an idle connection that a request may use, or null. */
+  private Channel takeIdle(InetSocketAddress address, Reuse reuse, String requestId) {
     ConcurrentLinkedDeque<IdleChannel> channels = idle.get(address);
     if (channels == null || reuse == Reuse.NONE) {
       return null;
     }
     long nowNanos = System.nanoTime();
-    IdleChannel connection = channels.pollLast();
-    while (connection != null && !connection.channel.isActive()) {
-      connection = channels.pollLast();
+    List<IdleChannel> unsuitable = new ArrayList<>();
+    Channel found = null;
+    while (found == null) {
+      IdleChannel candidate = channels.pollLast();
+      if (candidate == null) {
+        break;
+      }
+      if (!candidate.channel.isActive()) {
+        continue;
+      }
+      if (reuse == Reuse.FRESH && !candidate.isReusable(nowNanos)) {
+        // The remaining connections have been idle for even longer.
+        unsuitable.add(candidate);
+        break;
+      }
+      if (candidate.connection.mayCarry(requestId)) {
+        found = candidate.channel;
+      } else {
+        unsuitable.add(candidate);
+      }
     }
-    if (connection == null) {
-      return null;
-    }
-    if (reuse == Reuse.FRESH && !connection.isReusable(nowNanos)) {
-      // The remaining connections have been idle for even longer.
-      channels.addLast(connection);
-      return null;
+    for (int i = unsuitable.size() - 1; i >= 0; i--) {
+      channels.addLast(unsuitable.get(i));
     }
-    return connection.channel;
+    return found;
   }
 
   private void release(InetSocketAddress address, Channel channel, OptionalLong idleTimeoutMillis) {
     ConcurrentLinkedDeque<IdleChannel> channels =
         idle.computeIfAbsent(address, unused -> new ConcurrentLinkedDeque<>());
-    if (channels.size() >= MAX_IDLE_CONNECTIONS_PER_ADDRESS) {
+    ClientConnection connection = channel.pipeline().get(ClientConnection.class);
+    boolean isKept =
+        channel.isActive()
+            && channels.size() < MAX_IDLE_CONNECTIONS_PER_ADDRESS
+            && connection.canCarryMore();
+    if (!isKept) {
       channel.close();
       return;
     }
     long idleMillis =
         (long) (IDLE_REUSE_SHARE * idleTimeoutMillis.orElse(DEFAULT_IDLE_TIMEOUT_MILLIS));
     channels.addLast(
-        new IdleChannel(channel, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(idleMillis)));
+        new IdleChannel(
+            channel, connection, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(idleMillis)));
   }
 
   private static HttpHeaders fields(InetSocketAddress address, Map<String, String> headers) {
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpResponseListener.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpResponseListener.java
@@ -4,6 +4,15 @@
 
 /** Receives the response to a request of an {@link HttpConnector}, on an event loop. */
 public interface HttpResponseListener {
+  /**
+   * Returns the id that responses to this request carry, or an empty string if they carry none. A
+   * connection is used for one request of an id only: {@link #matchesRequest} could not tell a late
+   * copy of the first response from the second one.
+   */
+  default String requestId() {
+    return "";
+  }
+
   /**
    * Returns whether a response belongs to this request. Otherwise it belongs to an earlier request
    * on the connection and is skipped.
--- a/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
@@ -90,6 +90,10 @@
     newChannel.writeAndFlush(request).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
   }
 
+  String requestId() {
+    return listener.requestId();
+  }
+
   boolean matchesRequest(int status, HttpHeaders headers) {
     return listener.matchesRequest(status, headers);
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointClient.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/EndpointClient.java
@@ -136,6 +136,11 @@
       this.listener = listener;
     }
 
+    @Override
+    public String requestId() {
+      return listener.requestId();
+    }
+
     @Override
     public boolean matchesRequest(int status, HttpHeaders headers) {
       return headers.contains(ForwardFields.FAILURE) || listener.matchesRequest(status, headers);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ForwardHandler.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ForwardHandler.java
@@ -170,6 +170,11 @@
       return isFirst;
     }
 
+    @Override
+    public String requestId() {
+      return requestId;
+    }
+
     @Override
     public boolean matchesRequest(int status, HttpHeaders headers) {
       return requestId.isEmpty()
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -760,6 +760,11 @@
                       placement.endpoint(), route.name(), trialEnding, millis, workUnits));
     }
 
+    @Override
+    public String requestId() {
+      return request.requestId();
+    }
+
     @Override
     public boolean matchesRequest(int status, HttpHeaders headers) {
       boolean isMatch = environment.endpoints().isResponseTo(request.requestId(), headers);
--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -98,6 +98,31 @@
     assertThat(connections.get()).isEqualTo(2);
   }
 
+  /** Guards against a late copy of the first response that is taken for the second one. */
+  @Test
+  void sendsARequestIdOnceOnAConnection() {
+    response = RESPONSE_HEAD + "Keep-Alive: timeout=20\r\n\r\nok";
+    get("first");
+    get("second");
+    assertThat(connections.get()).isEqualTo(1);
+    get("first");
+    assertThat(connections.get()).isEqualTo(2);
+    get("third");
+    get("second");
+    assertThat(connections.get()).isEqualTo(2);
+    get("second");
+    assertThat(connections.get()).isEqualTo(3);
+  }
+
+  @Test
+  void keepsConnectionsForABoundedNumberOfRequestIds() {
+    response = RESPONSE_HEAD + "Keep-Alive: timeout=20\r\n\r\nok";
+    for (int i = 0; i < 2_500; i++) {
+      get("id " + i);
+    }
+    assertThat(connections.get()).isEqualTo(3);
+  }
+
   @Test
   void doesNotPoolAConnectionThatTheServerWillClose() {
     response = RESPONSE_HEAD + "Connection: close\r\n\r\nok";
@@ -348,6 +373,12 @@
     return closedByClient.join();
   }
 
+  private void get(String requestId) {
+    BodyListener listener = new BodyListener(() -> {}, requestId);
+    connector.send(address(server), "GET", "/", Map.of(), new byte[0], listener);
+    listener.result().join();
+  }
+
   private HttpReply get(Reuse reuse) {
     return get(reuse, fields -> true);
   }
@@ -410,11 +441,22 @@
   /** Collects a response, and runs an action when the first part of its body has arrived. */
   private static final class BodyListener implements HttpResponseListener {
     private final Runnable onBody;
+    private final String requestId;
     private final StringBuilder body = new StringBuilder();
     private final CompletableFuture<String> result = new CompletableFuture<>();
 
     private BodyListener(Runnable onBody) {
+      this(onBody, "");
+    }
+
+    private BodyListener(Runnable onBody, String requestId) {
       this.onBody = onBody;
+      this.requestId = requestId;
+    }
+
+    @Override
+    public String requestId() {
+      return requestId;
     }
 
     private CompletableFuture<String> result() {
