Take a refusal for 'not run' only with the request's id (entry, node)

The product's own path took any response with Not-Run: true and no Request-Id for the endpoint's word that this request did not run, also one that belonged to an earlier request on the connection; and a stream that had begun with Not-Run: true was sent to a second endpoint.

--- a/buckthornferry/src/main/java/org/buckthornferry/node/ResponseRelay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/ResponseRelay.java
@@ -64,14 +64,23 @@
     exchange.onWritabilityChanged(() -> newCall.setReading(exchange.isWritable()));
   }
 
+  @Override
+  public String requestId() {
+    return requestId;
+  }
+
   @Override
   public void onHead(int newStatus, HttpHeaders headers) {
     status = newStatus;
     contentType = headers.get("Content-Type", contentType);
     String responseRequestId = headers.get("Request-Id");
     unusable = responseRequestId != null && !responseRequestId.equals(requestId);
-    notRun = "true".equalsIgnoreCase(headers.get("Not-Run"));
     streaming = status == 200 && contentType.startsWith(EVENT_STREAM) && !unusable;
+    // A refusal without an id may be one of another request.
+    notRun =
+        !streaming
+            && requestId.equals(responseRequestId)
+            && "true".equalsIgnoreCase(headers.get("Not-Run"));
     if (streaming) {
       exchange.start(200, responseHeaders());
     }
--- a/standins/src/main/java/org/buckthornferry/standin/Replies.java
+++ b/standins/src/main/java/org/buckthornferry/standin/Replies.java
@@ -31,7 +31,13 @@
   static void notRun(HttpExchange exchange, String detail) {
     exchange.respond(
         503,
-        Map.of("Not-Run", "true", "Content-Type", "text/plain"),
+        Map.of(
+            "Not-Run",
+            "true",
+            "Request-Id",
+            exchange.header("Request-Id").orElse(""),
+            "Content-Type",
+            "text/plain"),
         detail.getBytes(java.nio.charset.StandardCharsets.UTF_8));
   }
 }
