Place no request that has ended while another one was placed

No such consequence is known in the relay today; the dispatcher no longer relies on that. The test failed before (2 placed instead of 1).

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -491,9 +491,12 @@
   private record Choice(EndpointLoad load, long nextNanos) {}
 
   private void place(WaitingRequest request, EndpointLoad load, long nowNanos) {
+    if (!queue.remove(request)) {
+      // The request has ended as a consequence of an earlier placement.
+      return;
+    }
     placed++;
     placedWithKnownSpeed += load.speed().isKnown() ? 1 : 0;
-    queue.remove(request);
     boolean needsPermit = needsPermit(load);
     // A reservation would be a second call to an endpoint that counts calls.
     long reservationMillis =
--- a/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/dispatch/DispatcherTest.java
@@ -28,6 +28,7 @@
   private final List<Placement> placed = new ArrayList<>();
   private final List<String> refused = new ArrayList<>();
   private final List<Long> retryAfterMillis = new ArrayList<>();
+  private Runnable onPlacement = () -> {};
 
   @Test
   void placesOnTheEndpointWithTheShortestTimeToTheFirstEvent() {
@@ -93,6 +94,20 @@
     assertThat(placed).hasSize(1);
   }
 
+  /** Guards against a request that is sent after its caller has been refused. */
+  @Test
+  void aRequestThatEndsWhileAnotherIsPlacedIsNotPlaced() {
+    Dispatcher dispatcher = dispatcher(PLAIN, endpoint("one", 4, 0), endpoint("other", 4, 0));
+    WaitingRequest first = request("first", 0, 100, 0);
+    WaitingRequest second = request("second", 1, 100, 0);
+    dispatcher.submit(first, millis(0));
+    dispatcher.submit(second, millis(0));
+    onPlacement = () -> dispatcher.remove(second);
+    dispatcher.dispatch(millis(1));
+    assertThat(placed).hasSize(1);
+    assertThat(placed.get(0).request()).isEqualTo(first);
+  }
+
   @Test
   void aPausedEndpointIsUsedAgainAfterItsLongestPause() {
     Endpoint paused = endpoint("e", 4, 0);
@@ -889,6 +904,7 @@
               @Override
               public void onPlaced(Placement placement) {
                 placed.add(placement);
+                onPlacement.run();
               }
 
               @Override
