--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ResponseKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ResponseKind.java
@@ -14,8 +14,8 @@
   /** The endpoint ran the request and failed; its response may be forwarded. */
   FAILED(AttemptOutcome.FAILED),
   /**
-   * The response must not be forwarded: a success is unsigned, or the status would tell the caller
-   * that the request did not run although that is not known.
+   * The response must not be forwarded: a success is unsigned or contradicts itself, or the status
+   * would tell the caller that the request did not run although that is not known.
    */
   UNUSABLE(AttemptOutcome.BROKEN);
 
@@ -38,12 +38,12 @@
     if (head.isMisdirected()) {
       return MISDIRECTED;
     }
+    if (head.isSuccess()) {
+      return head.isSigned() && !head.isNotRun() ? SERVED : UNUSABLE;
+    }
     if (head.isNotRun()) {
       return NOT_RUN;
     }
-    if (head.isSuccess()) {
-      return head.isSigned() ? SERVED : UNUSABLE;
-    }
     return impliesNotRun(head.status()) ? UNUSABLE : FAILED;
   }
 
