--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -30,6 +30,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests connection reuse, and that malformed or endless responses fail within limits. */
 @Timeout(30)
@@ -299,6 +301,40 @@
     }
   }
 
+  /**
+   * Guards against a request that counts as not run because of a late refusal of another one. Lines
+   * of the refusals are separated by bars.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 503 Full|Not-Run: 1|Id: r1|Content-Length: 4||full",
+        "HTTP/1.1 503 Full|Id: r1|Not-Run: 1|Content-Length: 0||",
+        "HTTP/1.1 429 Slow|Not-Run: 1|Transfer-Encoding: chunked|Id: r1||4|full|0||",
+        "HTTP/1.1 421 Other|Content-Length: 0||",
+        "HTTP/1.1 100 Continue||HTTP/1.1 503 Full|Not-Run: 1|Id: r1||",
+        "HTTP/1.0 503 Full|Not-Run: 1|Content-Length: 4|Id: r1||full"
+      })
+  void noPartOfALateRefusalRefusesTheNextRequest(String lines) throws Exception {
+    String refusal = lines.replace("|", "\r\n");
+    String own = "HTTP/1.1 200 OK\r\nId: r2\r\nContent-Length: 2\r\n\r\nok";
+    for (int partBytes = 1; partBytes <= refusal.length(); partBytes++) {
+      String part = refusal.substring(0, partBytes);
+      threads.submit(
+          () -> {
+            try (Socket socket = scriptedServer.accept()) {
+              readHead(socket.getInputStream());
+              socket.getOutputStream().write(bytes(own.replace("r2", "r1")));
+              readHead(socket.getInputStream());
+              socket.getOutputStream().write(bytes(part + own));
+              return null;
+            }
+          });
+      assertThat(statusFromScripted("r1")).isEqualTo(200);
+      assertWithMessage(part).that(statusFromScripted("r2")).isAnyOf(0, 200);
+    }
+  }
+
   /** Guards against fragments that wait in the decoder of an idle connection. */
   @Test
   void bytesThatArriveOnAnIdleConnectionCloseIt() throws Exception {
@@ -399,6 +435,23 @@
     return connector.exchange(address(scriptedServer), "GET", "/", Map.of(), new byte[0], 60_000);
   }
 
+  /** Sends a request whose response has its id; returns the status, or 0 if it has failed. */
+  private int statusFromScripted(String requestId) {
+    return connector
+        .exchange(
+            address(scriptedServer),
+            "GET",
+            "/",
+            Map.of(),
+            new byte[0],
+            Reuse.ANY,
+            fields -> fields.get("Id", "").equals(requestId),
+            64 << 10,
+            60_000)
+        .handle((reply, failure) -> failure == null ? reply.status() : 0)
+        .join();
+  }
+
   private HttpReply getFromScripted() {
     return sendToScripted().join();
   }
