--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -154,6 +154,35 @@
     assertThat(failure().mayHaveReachedServer()).isTrue();
   }
 
+  @Test
+  void aRefusedConnectionShowsThatNothingWasSent() throws IOException {
+    scriptedServer.close();
+    CompletionException failed =
+        assertThrows(CompletionException.class, () -> sendToScripted().join());
+    assertThat(((HttpFailure) failed.getCause()).mayHaveReachedServer()).isFalse();
+  }
+
+  /** Guards against a second send of a request that the server has begun to read. */
+  @Test
+  void aRequestOfWhichAByteWasReadMayHaveReachedItsServer() throws Exception {
+    for (int repeat = 0; repeat < 50; repeat++) {
+      threads.submit(
+          () -> {
+            try (Socket socket = scriptedServer.accept()) {
+              readHead(socket.getInputStream());
+              socket.getOutputStream().write(bytes(EARLIER_RESPONSE));
+              int firstByte = socket.getInputStream().read();
+              socket.setSoLinger(true, 0);
+              return firstByte;
+            }
+          });
+      getFromScripted();
+      CompletionException failed =
+          assertThrows(CompletionException.class, () -> sendToScripted().join());
+      assertThat(((HttpFailure) failed.getCause()).mayHaveReachedServer()).isTrue();
+    }
+  }
+
   /** Guards against a reset that the client notices by a failed write and takes for the end. */
   @Test
   void aResponseWithoutALengthFailsIfTheConnectionBreaksWhileTheRequestIsSent() throws Exception {
