Let the client close the connection that ends a round of the test

A round whose part is harmless left its connection in the pool, and the next round could take it before the client had seen that the server had closed it. The last response of a round now says that the connection is closed; the checks are the same.

--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -346,16 +346,18 @@
       })
   void noPartOfALateRefusalRefusesTheNextRequest(String lines) throws Exception {
     String refusal = lines.replace("|", "\r\n");
-    String own = "HTTP/1.1 200 OK\r\nId: r2\r\nContent-Length: 2\r\n\r\nok";
+    String first = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nok";
+    // The next round must not get this connection, which its server closes.
+    String last = first.replace("r1", "r2\r\nConnection: close");
     for (int partBytes = 1; partBytes <= refusal.length(); partBytes++) {
       String part = refusal.substring(0, partBytes);
       threads.submit(
           () -> {
             try (Socket socket = scriptedServer.accept()) {
               readHead(socket.getInputStream());
-              socket.getOutputStream().write(bytes(own.replace("r2", "r1")));
+              socket.getOutputStream().write(bytes(first));
               readHead(socket.getInputStream());
-              socket.getOutputStream().write(bytes(part + own));
+              socket.getOutputStream().write(bytes(part + last));
               return null;
             }
           });
