--- a/buckthornferry/src/main/java/org/buckthornferry/catalog/Service.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Service.java
@@ -10,13 +10,25 @@
  * @param coldRequestsPerSecond the rate limit of a cold endpoint over all instances, in requests
  *     per second; 0 for no limit
  * @param reservations the slot reservations, or empty when the endpoints offer none
+ * @param isFleetScheduled whether the requests of all instances wait in one queue
  */
 public record Service(
     String name,
     int maxConnections,
     long warmupMillis,
     double coldRequestsPerSecond,
-    Optional<Reservations> reservations) {
+    Optional<Reservations> reservations,
+    boolean isFleetScheduled) {
+
+  /** Creates a service whose requests wait at the instances that received them. */
+  public Service(
+      String name,
+      int maxConnections,
+      long warmupMillis,
+      double coldRequestsPerSecond,
+      Optional<Reservations> reservations) {
+    this(name, maxConnections, warmupMillis, coldRequestsPerSecond, reservations, false);
+  }
 
   /**
    * The slot reservations that model engines offer before a request is sent.
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/AnswerLengths.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/AnswerLengths.java
@@ -8,7 +8,7 @@
  * answers are long for their route. Answer lengths vary far more than prompt lengths: a fifth of
  * the requests often needs two thirds of the slot time.
  */
-final class AnswerLengths {
+public final class AnswerLengths {
   /** A request is long when its expected answer exceeds the mean of its route by this factor. */
   private static final double LONG_FACTOR = 1.5;
 
@@ -33,7 +33,7 @@
   private final Mean events = new Mean();
 
   /** Adds a request and returns whether its answer is expected to be long for its route. */
-  boolean isLong(String routeName, long expectedTokens) {
+  public boolean isLong(String routeName, long expectedTokens) {
     if (expectedTokens <= 0) {
       return false;
     }
@@ -44,7 +44,7 @@
   }
 
   /** Adds a complete answer. */
-  void onAnswer(long expectedTokens, int answerEvents) {
+  public void onAnswer(long expectedTokens, int answerEvents) {
     if (expectedTokens > 0) {
       tokens.add((double) expectedTokens);
       events.add(answerEvents);
@@ -52,7 +52,7 @@
   }
 
   /** Returns the expected number of events; 0 when unknown. */
-  double expectedEvents(long expectedTokens) {
+  public double expectedEvents(long expectedTokens) {
     return tokens.value <= 0 ? 0 : expectedTokens * events.value / tokens.value;
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/AttemptOutcome.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/AttemptOutcome.java
@@ -28,7 +28,7 @@
   CANCELLED(Evidence.NONE);
 
   /** What an outcome says about an endpoint. */
-  enum Evidence {
+  public enum Evidence {
     NONE,
     GOOD,
     ERROR,
@@ -44,7 +44,8 @@
     this.evidence = evidence;
   }
 
-  Evidence evidence() {
+  /** Returns what the outcome says about the endpoint. */
+  public Evidence evidence() {
     return evidence;
   }
 }
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/ClassShares.java
@@ -0,0 +1,56 @@
+package org.buckthornferry.fleetqueue;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.buckthornferry.dispatch.SlidingWindowSum;
+
+/**
+ * Counts which share of its requests each class has started. A class is a route and an answer
+ * length; each has a guaranteed share, so that priority starves none in a lasting overload.
+ */
+final class ClassShares {
+  /** The guaranteed share of a route; priority decides beyond it. */
+  private static final double GUARANTEED_SHARE = 0.2;
+
+  /** The guaranteed share of long answers, which occupy slots many times longer. */
+  private static final double GUARANTEED_LONG_SHARE = 0.1;
+
+  /** The window of the counts, in milliseconds; longer than a burst, after which all are served. */
+  private static final long WINDOW_MILLIS = 20_000;
+
+  private final Map<RequestClass, Counts> classes = new HashMap<>();
+
+  private record RequestClass(String routeName, boolean isLong) {
+    static RequestClass of(Ticket ticket) {
+      return new RequestClass(ticket.routeName(), ticket.isLong());
+    }
+  }
+
+  private static final class Counts {
+    private final double guaranteedShare;
+    private final SlidingWindowSum arrived = new SlidingWindowSum(WINDOW_MILLIS);
+    private final SlidingWindowSum started = new SlidingWindowSum(WINDOW_MILLIS);
+
+    private Counts(boolean isLong) {
+      guaranteedShare = isLong ? GUARANTEED_LONG_SHARE : GUARANTEED_SHARE;
+    }
+  }
+
+  void onArrival(Ticket ticket, long nowNanos) {
+    counts(ticket).arrived.add(1, nowNanos);
+  }
+
+  void onStarted(Ticket ticket, long nowNanos) {
+    counts(ticket).started.add(1, nowNanos);
+  }
+
+  boolean isBelowGuarantee(Ticket ticket, long nowNanos) {
+    Counts counts = counts(ticket);
+    return counts.started.sum(nowNanos) < counts.guaranteedShare * counts.arrived.sum(nowNanos) - 1;
+  }
+
+  private Counts counts(Ticket ticket) {
+    return classes.computeIfAbsent(
+        RequestClass.of(ticket), requestClass -> new Counts(requestClass.isLong));
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
@@ -0,0 +1,194 @@
+package org.buckthornferry.fleetqueue;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.dispatch.AttemptOutcome;
+import org.buckthornferry.dispatch.PromptPrefix;
+
+/**
+ * What the coordinator knows of an endpoint: what runs there, its failures, its prompt prefixes.
+ */
+final class EndpointState {
+  /** The first backoff after failures, in milliseconds; it doubles with each further one. */
+  private static final long FIRST_FAILURE_BACKOFF_MILLIS = 250;
+
+  /** The longest backoff after failures, in milliseconds; recovery is noticed within it. */
+  private static final long MAX_FAILURE_BACKOFF_MILLIS = 3_000;
+
+  /**
+   * How long an answer excuses a single failure, in milliseconds. One lost connection among many
+   * answers says little, and a service with three endpoints cannot spare one for it.
+   */
+  private static final long TRUST_MILLIS = 1_000;
+
+  /** The first backoff after a rejection for lack of a slot, in milliseconds. */
+  private static final long FIRST_FULL_BACKOFF_MILLIS = 4;
+
+  /** The longest backoff after rejections for lack of a slot, in milliseconds. */
+  private static final long MAX_FULL_BACKOFF_MILLIS = 128;
+
+  /** The backoff after a rejection by an endpoint that closes its connections, in milliseconds. */
+  private static final long CLOSING_BACKOFF_MILLIS = 400;
+
+  /** How long a prompt prefix is expected to stay in an endpoint's cache, in milliseconds. */
+  private static final long PREFIX_RETENTION_MILLIS = 15_000;
+
+  /** The number of prompt prefixes that are remembered for an endpoint. */
+  private static final int MAX_PREFIXES = 64;
+
+  /**
+   * How long an idle connection stays usable, in milliseconds; endpoints close them after 1.5 s.
+   */
+  private static final long CONNECTION_MILLIS = 1_200;
+
+  /** The smoothing factor of the moving average of errors. */
+  private static final double ERROR_WEIGHT = 0.1;
+
+  private final Map<String, Integer> runningByInstance = new HashMap<>();
+  private final Map<String, Long> lastEndNanosByInstance = new HashMap<>();
+  private final LinkedHashMap<String, Long> prefixNanos =
+      new LinkedHashMap<>(16, 0.75f, /* accessOrder= */ true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_PREFIXES;
+        }
+      };
+  private Endpoint endpoint;
+  private int running;
+  private int consecutiveFull;
+  private int consecutiveFailures;
+  private long backoffUntilNanos;
+  private long answeredNanos;
+  private double errorShare;
+  private boolean isGone;
+
+  EndpointState(Endpoint endpoint, long nowNanos) {
+    this.endpoint = endpoint;
+    this.backoffUntilNanos = nowNanos;
+    this.answeredNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(TRUST_MILLIS);
+  }
+
+  Endpoint endpoint() {
+    return endpoint;
+  }
+
+  void update(Endpoint newer) {
+    endpoint = newer;
+  }
+
+  /** Returns the number of requests of all instances at the endpoint. */
+  int running() {
+    return running;
+  }
+
+  double errorShare() {
+    return errorShare;
+  }
+
+  /** Returns whether the endpoint may get a request as far as failures are concerned. */
+  boolean isAvailable(long nowNanos) {
+    boolean mayProbe = consecutiveFailures <= 1 || running == 0;
+    return !isGone && mayProbe && backoffUntilNanos - nowNanos <= 0;
+  }
+
+  long backoffUntilNanos() {
+    return backoffUntilNanos;
+  }
+
+  void onGranted(String instanceId, PromptPrefix prefix, long nowNanos) {
+    setRunning(instanceId, runningByInstance.getOrDefault(instanceId, 0) + 1);
+    if (prefix.tokens() > 0) {
+      prefixNanos.put(prefix.rootId(), nowNanos);
+    }
+  }
+
+  /** Sets the number of requests of an instance at the endpoint. */
+  void setRunning(String instanceId, int count) {
+    Integer before =
+        count <= 0
+            ? runningByInstance.remove(instanceId)
+            : runningByInstance.put(instanceId, count);
+    running += Math.max(0, count) - (before == null ? 0 : before);
+  }
+
+  int running(String instanceId) {
+    return runningByInstance.getOrDefault(instanceId, 0);
+  }
+
+  void removeInstance(String instanceId) {
+    setRunning(instanceId, 0);
+    lastEndNanosByInstance.remove(instanceId);
+  }
+
+  /** Returns the number of prompt tokens that the endpoint is expected to have cached. */
+  double cachedTokens(PromptPrefix prefix, long nowNanos) {
+    Long usedNanos = prefix.tokens() > 0 ? prefixNanos.get(prefix.rootId()) : null;
+    boolean isKept =
+        usedNanos != null
+            && nowNanos - usedNanos < TimeUnit.MILLISECONDS.toNanos(PREFIX_RETENTION_MILLIS);
+    return isKept ? prefix.tokens() : 0;
+  }
+
+  /** Returns whether an instance probably has an open connection to the endpoint. */
+  boolean hasConnection(String instanceId, long nowNanos) {
+    Long endNanos = lastEndNanosByInstance.get(instanceId);
+    return endNanos != null
+        && nowNanos - endNanos < TimeUnit.MILLISECONDS.toNanos(CONNECTION_MILLIS);
+  }
+
+  void onEnded(String instanceId, AttemptOutcome outcome, long nowNanos) {
+    setRunning(instanceId, runningByInstance.getOrDefault(instanceId, 0) - 1);
+    switch (outcome.evidence()) {
+      case GOOD -> {
+        onAnswer(instanceId, nowNanos);
+        errorShare -= ERROR_WEIGHT * errorShare;
+      }
+      case ERROR -> {
+        onAnswer(instanceId, nowNanos);
+        errorShare += ERROR_WEIGHT * (1 - errorShare);
+      }
+      case BUSY -> {
+        consecutiveFull++;
+        backOff(
+            Math.min(
+                MAX_FULL_BACKOFF_MILLIS,
+                FIRST_FULL_BACKOFF_MILLIS << Math.min(consecutiveFull - 1, 8)),
+            nowNanos);
+      }
+      case LEAVING -> backOff(CLOSING_BACKOFF_MILLIS, nowNanos);
+      case BROKEN -> onFailure(nowNanos);
+      case GONE -> isGone = true;
+      case NONE -> {}
+      default -> throw new IllegalStateException("unknown evidence " + outcome.evidence());
+    }
+  }
+
+  private void onAnswer(String instanceId, long nowNanos) {
+    answeredNanos = nowNanos;
+    consecutiveFailures = 0;
+    consecutiveFull = 0;
+    lastEndNanosByInstance.put(instanceId, nowNanos);
+  }
+
+  private void onFailure(long nowNanos) {
+    errorShare += ERROR_WEIGHT * (1 - errorShare);
+    consecutiveFailures++;
+    boolean isTrusted = nowNanos - answeredNanos < TimeUnit.MILLISECONDS.toNanos(TRUST_MILLIS);
+    if (consecutiveFailures == 1 && isTrusted) {
+      return;
+    }
+    backOff(
+        Math.min(
+            MAX_FAILURE_BACKOFF_MILLIS,
+            FIRST_FAILURE_BACKOFF_MILLIS << Math.min(consecutiveFailures - 1, 5)),
+        nowNanos);
+  }
+
+  private void backOff(long millis, long nowNanos) {
+    long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+    backoffUntilNanos = Math.max(backoffUntilNanos, untilNanos);
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -0,0 +1,485 @@
+package org.buckthornferry.fleetqueue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.concurrency.CapacityEstimate;
+import org.buckthornferry.concurrency.CapacityModel;
+import org.buckthornferry.concurrency.Observation;
+import org.buckthornferry.dispatch.AnswerLengths;
+import org.buckthornferry.dispatch.AttemptOutcome;
+import org.buckthornferry.dispatch.VersionPolicy;
+import org.buckthornferry.error.ErrorKind;
+
+/**
+ * The queue of one service's waiting requests over all instances. Decides in which order they get
+ * slots, at which endpoints, and which of them are refused because no slot can come in time. The
+ * instances reserve the slots, so a wrong count costs a rejected reservation and nothing else.
+ */
+public final class FleetQueue {
+  /** Returned by {@link #nextDueNanos} when nothing is due without a further event. */
+  public static final long NEVER = Long.MAX_VALUE;
+
+  /**
+   * The maximum number of tickets per decision that are passed over because no free endpoint suits
+   * them; looking past the first avoids head-of-line blocking.
+   */
+  private static final int MAX_SKIPPED = 16;
+
+  /** The expected time until a slot becomes free at a busy endpoint, in milliseconds. */
+  private static final long SLOT_WAIT_MILLIS = 100;
+
+  /** The share of the slots below which free ones count as scarce. */
+  private static final double SCARCE_SHARE = 0.1;
+
+  /** How long a grant counts as running although its instance does not state it yet. */
+  private static final long GRANT_GRACE_MILLIS = 500;
+
+  /**
+   * How long before its caller leaves a late request is raised in the queue, in milliseconds; a few
+   * slots become free within it.
+   */
+  private static final long LAST_CALL_MILLIS = 800;
+
+  /** Retry-After as a share of the time left to the deadline; a caller still retries after it. */
+  private static final double MAX_RETRY_AFTER_SHARE = 0.32;
+
+  /** The shortest Retry-After, in milliseconds; about the time in which one slot is released. */
+  private static final long MIN_RETRY_AFTER_MILLIS = 100;
+
+  /** The number of tickets that are remembered as counted; some seconds of arrivals. */
+  private static final int MAX_COUNTED = 8_192;
+
+  private final CapacityModel capacities;
+  private final VersionPolicy versions;
+  private final RandomGenerator random;
+  private final Map<String, EndpointState> endpoints = new HashMap<>();
+  private final Map<TicketKey, QueuedTicket> tickets = new LinkedHashMap<>();
+  private final Map<TicketKey, Grant> grants = new HashMap<>();
+  private final Map<TicketKey, Boolean> counted =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<TicketKey, Boolean> eldest) {
+          return size() > MAX_COUNTED;
+        }
+      };
+  private final ClassShares shares = new ClassShares();
+  private final WaitEstimate waits = new WaitEstimate();
+  private final AnswerLengths answerLengths = new AnswerLengths();
+  private Map<String, List<Decision>> decisions = new LinkedHashMap<>();
+  private int slots;
+  private long granted;
+  private long refused;
+
+  /** A request that has been granted a slot and has not ended. */
+  private record Grant(
+      String endpointId,
+      Ticket ticket,
+      int concurrency,
+      double uncachedTokens,
+      double goalMillis,
+      long grantedNanos) {}
+
+  /** Creates a queue without endpoints. */
+  public FleetQueue(CapacityModel capacities, VersionPolicy versions, RandomGenerator random) {
+    this.capacities = capacities;
+    this.versions = versions;
+    this.random = random;
+  }
+
+  /** Sets the endpoints that may get requests; what runs at others is forgotten. */
+  public void setEndpoints(Collection<Endpoint> usable, long nowNanos) {
+    Map<String, EndpointState> before = new HashMap<>(endpoints);
+    Map<String, Integer> slotsByProcess = new HashMap<>();
+    endpoints.clear();
+    slots = 0;
+    for (Endpoint endpoint : usable) {
+      EndpointState state = before.get(endpoint.id());
+      if (state == null || !state.endpoint().isSameProcess(endpoint)) {
+        state = new EndpointState(endpoint, nowNanos);
+      }
+      state.update(endpoint);
+      endpoints.put(endpoint.id(), state);
+      slotsByProcess.put(endpoint.processKey(), endpoint.capacity());
+      slots += endpoint.capacity();
+    }
+    capacities.setEndpoints(slotsByProcess);
+  }
+
+  /**
+   * Adds a ticket, or replaces it. A request keeps its ticket number when it is submitted again, so
+   * that it counts as one arrival.
+   */
+  public void submit(String instanceId, String failureDomain, Ticket ticket, long nowNanos) {
+    TicketKey key = new TicketKey(instanceId, ticket.number());
+    QueuedTicket queued = new QueuedTicket(key, failureDomain, ticket, nowNanos);
+    tickets.put(key, queued);
+    boolean isNew = counted.put(key, true) == null;
+    if (isNew) {
+      shares.onArrival(ticket, nowNanos);
+    }
+    queued.setPosition(position(queued, nowNanos));
+    if (isNew) {
+      waits.onAdmitted(queued.position(), nowNanos);
+    }
+  }
+
+  /** Removes a ticket whose request does not wait any more. */
+  public void withdraw(String instanceId, long ticketNumber) {
+    tickets.remove(new TicketKey(instanceId, ticketNumber));
+  }
+
+  /** Returns the number of tickets of an instance. */
+  public int ticketsOf(String instanceId) {
+    int count = 0;
+    for (TicketKey key : tickets.keySet()) {
+      if (key.instanceId().equals(instanceId)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Records the end of an attempt, or of a grant that was not used. */
+  public void onEnded(String instanceId, EndedRun run, long nowNanos) {
+    Grant grant = grants.remove(new TicketKey(instanceId, run.ticketNumber()));
+    EndpointState endpoint = endpoints.get(run.endpointId());
+    if (endpoint == null) {
+      return;
+    }
+    int concurrency = endpoint.running();
+    endpoint.onEnded(instanceId, run.outcome(), nowNanos);
+    String processKey = endpoint.endpoint().processKey();
+    if (run.outcome() == AttemptOutcome.FULL) {
+      capacities.onFull(processKey, concurrency, nowNanos);
+    }
+    if (grant != null && run.timing().isPresent()) {
+      observe(instanceId, processKey, grant, run.timing().get(), nowNanos);
+    }
+  }
+
+  private void observe(
+      String instanceId, String processKey, Grant grant, EndedRun.Timing timing, long nowNanos) {
+    answerLengths.onAnswer(grant.ticket.size().expectedOutputTokens(), timing.events());
+    capacities.observe(
+        processKey,
+        new Observation(
+            instanceId,
+            grant.concurrency,
+            grant.uncachedTokens,
+            timing.firstEventMillis(),
+            timing.events(),
+            timing.streamMillis(),
+            timing.longestGapMillis(),
+            grant.goalMillis,
+            grant.ticket.gapGoalMillis()),
+        nowNanos);
+  }
+
+  /**
+   * Sets what an instance states to run. Grants of the last moment are added, because they may not
+   * have reached it.
+   */
+  public void setRunning(
+      String instanceId, Map<String, Integer> runningByEndpointId, long nowNanos) {
+    Map<String, Integer> fresh = new HashMap<>();
+    for (Map.Entry<TicketKey, Grant> entry : grants.entrySet()) {
+      boolean isFresh =
+          nowNanos - entry.getValue().grantedNanos
+              < TimeUnit.MILLISECONDS.toNanos(GRANT_GRACE_MILLIS);
+      if (isFresh && entry.getKey().instanceId().equals(instanceId)) {
+        fresh.merge(entry.getValue().endpointId, 1, Integer::sum);
+      }
+    }
+    for (Map.Entry<String, EndpointState> entry : endpoints.entrySet()) {
+      int stated = runningByEndpointId.getOrDefault(entry.getKey(), 0);
+      int count = Math.max(stated, fresh.getOrDefault(entry.getKey(), 0));
+      entry.getValue().setRunning(instanceId, count);
+    }
+  }
+
+  /** Forgets the tickets and runs of an instance that has left. */
+  public void removeInstance(String instanceId) {
+    tickets.keySet().removeIf(key -> key.instanceId().equals(instanceId));
+    grants.keySet().removeIf(key -> key.instanceId().equals(instanceId));
+    endpoints.values().forEach(endpoint -> endpoint.removeInstance(instanceId));
+  }
+
+  /** Grants free slots and refuses what cannot be served; returns the decisions by instance. */
+  public Map<String, List<Decision>> decide(long nowNanos) {
+    decisions = new LinkedHashMap<>();
+    if (tickets.isEmpty()) {
+      return decisions;
+    }
+    for (QueuedTicket queued : tickets.values()) {
+      queued.setPosition(position(queued, nowNanos));
+    }
+    List<EndpointState> free = freeEndpoints(nowNanos);
+    int skipped = 0;
+    while (!free.isEmpty() && skipped < MAX_SKIPPED) {
+      QueuedTicket first = firstUnskipped();
+      if (first == null) {
+        break;
+      }
+      Optional<EndpointState> endpoint = choose(first, free, nowNanos);
+      if (endpoint.isEmpty()) {
+        first.skip();
+        skipped++;
+        continue;
+      }
+      grant(first, endpoint.get(), nowNanos);
+      if (!hasRoom(endpoint.get(), nowNanos)) {
+        free.remove(endpoint.get());
+      }
+    }
+    refuseHopeless(nowNanos);
+    return decisions;
+  }
+
+  /** Returns when to decide again although nothing happens, or {@link #NEVER}. */
+  public long nextDueNanos(long nowNanos) {
+    if (tickets.isEmpty()) {
+      return NEVER;
+    }
+    double nextMillis = Double.MAX_VALUE;
+    for (QueuedTicket queued : tickets.values()) {
+      nextMillis = Math.min(nextMillis, usefulWaitMillis(queued, nowNanos));
+    }
+    long nextNanos = nowNanos + (long) (Math.max(1, nextMillis) * 1e6);
+    for (EndpointState endpoint : endpoints.values()) {
+      if (endpoint.backoffUntilNanos() - nowNanos > 0) {
+        nextNanos = Math.min(nextNanos, endpoint.backoffUntilNanos());
+      }
+    }
+    return nextNanos;
+  }
+
+  private QueuePosition position(QueuedTicket queued, long nowNanos) {
+    Ticket ticket = queued.ticket();
+    QueuePosition.Timeliness timeliness = timeliness(queued, nowNanos);
+    boolean isBelowGuarantee =
+        timeliness == QueuePosition.Timeliness.ON_TIME && shares.isBelowGuarantee(ticket, nowNanos);
+    double runMillis = expectedEvents(ticket) * capacities.meanMillisPerEvent();
+    return QueuePosition.of(queued, isBelowGuarantee, timeliness, (long) (runMillis * 1e6));
+  }
+
+  private QueuePosition.Timeliness timeliness(QueuedTicket queued, long nowNanos) {
+    double firstEventMillis = meanFirstEventMillis(queued.ticket());
+    if (queued.goalMillis(nowNanos) >= firstEventMillis / 2) {
+      return QueuePosition.Timeliness.ON_TIME;
+    }
+    return usefulWaitMillis(queued, nowNanos) < LAST_CALL_MILLIS
+        ? QueuePosition.Timeliness.LAST_CALL
+        : QueuePosition.Timeliness.LATE;
+  }
+
+  /** Returns how long a request may still wait for a slot so that its caller gets an answer. */
+  private double usefulWaitMillis(QueuedTicket queued, long nowNanos) {
+    Ticket ticket = queued.ticket();
+    double firstEventMillis = meanFirstEventMillis(ticket);
+    double runMillis = expectedEvents(ticket) * capacities.meanMillisPerEvent();
+    return Math.min(
+        queued.patienceMillis(nowNanos) - firstEventMillis,
+        queued.deadlineMillis(nowNanos) - firstEventMillis - runMillis);
+  }
+
+  private double meanFirstEventMillis(Ticket ticket) {
+    return capacities.meanMillisPerToken()
+        * (ticket.size().promptTokens() + CapacityModel.FIXED_COST_TOKENS);
+  }
+
+  private double expectedEvents(Ticket ticket) {
+    return ticket.gapGoalMillis() <= 0
+        ? 0
+        : answerLengths.expectedEvents(ticket.size().expectedOutputTokens());
+  }
+
+  private List<EndpointState> freeEndpoints(long nowNanos) {
+    List<EndpointState> free = new ArrayList<>();
+    for (EndpointState endpoint : endpoints.values()) {
+      if (hasRoom(endpoint, nowNanos)) {
+        free.add(endpoint);
+      }
+    }
+    return free;
+  }
+
+  private boolean hasRoom(EndpointState endpoint, long nowNanos) {
+    return isUsable(endpoint, nowNanos) && endpoint.running() < limit(endpoint, nowNanos);
+  }
+
+  private boolean isUsable(EndpointState endpoint, long nowNanos) {
+    String version = endpoint.endpoint().version();
+    return endpoint.isAvailable(nowNanos)
+        && versions.mayUse(version)
+        && !versions.isCanary(version);
+  }
+
+  private int limit(EndpointState endpoint, long nowNanos) {
+    return capacities.estimate(endpoint.endpoint().processKey(), nowNanos).limit();
+  }
+
+  private QueuedTicket firstUnskipped() {
+    QueuedTicket first = null;
+    for (QueuedTicket queued : tickets.values()) {
+      if (!queued.isSkipped()
+          && (first == null || queued.position().compareTo(first.position()) < 0)) {
+        first = queued;
+      }
+    }
+    return first;
+  }
+
+  /** Returns the best free endpoint, or empty when a busy one is worth waiting for. */
+  private Optional<EndpointState> choose(
+      QueuedTicket queued, List<EndpointState> free, long nowNanos) {
+    boolean isScarce = free.size() < SCARCE_SHARE * endpoints.size() || tickets.size() > 1;
+    EndpointState best = null;
+    PlacementScore bestScore = null;
+    for (EndpointState endpoint : free) {
+      if (queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id())) {
+        continue;
+      }
+      PlacementScore score = score(queued, endpoint, isScarce, nowNanos);
+      if (bestScore == null || score.compareTo(bestScore) < 0) {
+        best = endpoint;
+        bestScore = score;
+      }
+    }
+    if (best == null) {
+      return Optional.empty();
+    }
+    boolean waits =
+        bestScore.fit() != PlacementScore.Fit.GOOD
+            && isBusyEndpointBetter(queued, bestScore.fit(), nowNanos);
+    return waits ? Optional.empty() : Optional.of(best);
+  }
+
+  private PlacementScore score(
+      QueuedTicket queued, EndpointState endpoint, boolean isScarce, long nowNanos) {
+    CapacityEstimate estimate = capacities.estimate(endpoint.endpoint().processKey(), nowNanos);
+    return PlacementScore.of(
+        queued,
+        endpoint,
+        estimate,
+        expectedEvents(queued.ticket()),
+        capacities.meanMillisPerToken(),
+        isScarce,
+        nowNanos);
+  }
+
+  /** Returns whether an endpoint that is full now keeps more goals, even after a wait. */
+  private boolean isBusyEndpointBetter(QueuedTicket queued, PlacementScore.Fit fit, long nowNanos) {
+    long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
+    for (EndpointState endpoint : endpoints.values()) {
+      boolean isCandidate =
+          isUsable(endpoint, nowNanos)
+              && !queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id());
+      if (isCandidate
+          && score(queued, endpoint, /* isScarce= */ false, laterNanos).fit().compareTo(fit) < 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void grant(QueuedTicket queued, EndpointState endpoint, long nowNanos) {
+    Ticket ticket = queued.ticket();
+    double uncachedTokens = PlacementScore.uncachedTokens(ticket, endpoint, nowNanos);
+    endpoint.onGranted(queued.key().instanceId(), ticket.promptPrefix(), nowNanos);
+    tickets.remove(queued.key());
+    grants.put(
+        queued.key(),
+        new Grant(
+            endpoint.endpoint().id(),
+            ticket,
+            endpoint.running(),
+            uncachedTokens,
+            queued.goalMillis(nowNanos),
+            nowNanos));
+    shares.onStarted(ticket, nowNanos);
+    waits.onStarted(nowNanos);
+    granted++;
+    add(queued, Decision.grant(ticket.number(), endpoint.endpoint().id()));
+  }
+
+  /** Refuses requests for which no slot can become free while they can still be answered. */
+  private void refuseHopeless(long nowNanos) {
+    for (QueuedTicket queued : List.copyOf(tickets.values())) {
+      Ticket ticket = queued.ticket();
+      if (ticket.hasBeenSent() || ticket.isContinuation()) {
+        continue;
+      }
+      double usefulMillis = usefulWaitMillis(queued, nowNanos);
+      if (usefulMillis <= 0) {
+        ErrorKind reason =
+            endpoints.isEmpty() ? ErrorKind.NO_ENDPOINT : ErrorKind.DEADLINE_UNREACHABLE;
+        refuse(queued, reason, "no endpoint had a free slot in time", 0, nowNanos);
+        continue;
+      }
+      boolean isFirstLook = !queued.isAdmitted();
+      queued.markAdmitted();
+      if (isFirstLook && !shares.isBelowGuarantee(ticket, nowNanos)) {
+        int ahead = ahead(queued);
+        double waitMillis = waits.expectedMillis(queued.position(), ahead, nowNanos);
+        if (waitMillis > usefulMillis) {
+          String detail = String.format("%d requests wait, %.0f ms expected", ahead, waitMillis);
+          refuse(queued, ErrorKind.SHED, detail, waitMillis, nowNanos);
+        }
+      }
+    }
+  }
+
+  private int ahead(QueuedTicket queued) {
+    int ahead = 0;
+    for (QueuedTicket other : tickets.values()) {
+      if (other != queued && other.position().compareTo(queued.position()) <= 0) {
+        ahead++;
+      }
+    }
+    return ahead;
+  }
+
+  private void refuse(
+      QueuedTicket queued, ErrorKind reason, String detail, double waitMillis, long nowNanos) {
+    tickets.remove(queued.key());
+    refused++;
+    double longestMillis =
+        Math.max(MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_SHARE * queued.deadlineMillis(nowNanos));
+    // Jitter keeps callers that were refused together from retrying together.
+    double jitter = 0.7 + 0.3 * random.nextDouble();
+    double millis = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(longestMillis, waitMillis)) * jitter;
+    add(queued, Decision.refusal(queued.ticket().number(), reason, detail, (long) millis));
+  }
+
+  private void add(QueuedTicket queued, Decision decision) {
+    decisions.computeIfAbsent(queued.key().instanceId(), id -> new ArrayList<>()).add(decision);
+  }
+
+  /** Returns the state of the queue in one line, for logs and the state dump. */
+  public String describe() {
+    int running = 0;
+    for (EndpointState endpoint : endpoints.values()) {
+      running += endpoint.running();
+    }
+    return "waiting="
+        + tickets.size()
+        + " running="
+        + running
+        + " slots="
+        + slots
+        + " endpoints="
+        + endpoints.size()
+        + " granted="
+        + granted
+        + " refused="
+        + refused;
+  }
+}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/TicketKey.java
@@ -0,0 +1,4 @@
+package org.buckthornferry.fleetqueue;
+
+/** Identifies a ticket among those of all instances. */
+record TicketKey(String instanceId, long number) {}
--- /dev/null
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/WaitEstimate.java
@@ -0,0 +1,60 @@
+package org.buckthornferry.fleetqueue;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.buckthornferry.dispatch.SlidingWindowSum;
+
+/** Estimates the wait of a request from the recent rate of starts and of more urgent arrivals. */
+final class WaitEstimate {
+  /** The window of the rates, in milliseconds. */
+  private static final long RATE_WINDOW_MILLIS = 2_000;
+
+  /** The minimum share of the start rate that is assumed to remain for a request. */
+  private static final double MIN_RATE_SHARE = 0.15;
+
+  private final Map<Level, SlidingWindowSum> admitted = new TreeMap<>();
+  private final SlidingWindowSum starts = new SlidingWindowSum(RATE_WINDOW_MILLIS);
+
+  private record Level(int customerPriority, double level) implements Comparable<Level> {
+    static Level of(QueuePosition position) {
+      return new Level(position.customerPriority(), position.level());
+    }
+
+    @Override
+    public int compareTo(Level other) {
+      int byCustomer = Integer.compare(customerPriority, other.customerPriority);
+      return byCustomer != 0 ? byCustomer : Double.compare(level, other.level);
+    }
+  }
+
+  void onAdmitted(QueuePosition position, long nowNanos) {
+    admitted
+        .computeIfAbsent(Level.of(position), level -> new SlidingWindowSum(RATE_WINDOW_MILLIS))
+        .add(1, nowNanos);
+  }
+
+  void onStarted(long nowNanos) {
+    starts.add(1, nowNanos);
+  }
+
+  /**
+   * Returns the expected wait of a request; 0 when none is ahead.
+   *
+   * @param ahead the number of waiting requests that precede it
+   */
+  double expectedMillis(QueuePosition position, int ahead, long nowNanos) {
+    if (ahead == 0) {
+      return 0;
+    }
+    Level own = Level.of(position);
+    double startRate = starts.sum(nowNanos) / RATE_WINDOW_MILLIS;
+    double precedingRate = 0;
+    for (Map.Entry<Level, SlidingWindowSum> entry : admitted.entrySet()) {
+      if (entry.getKey().compareTo(own) < 0) {
+        precedingRate += entry.getValue().sum(nowNanos) / RATE_WINDOW_MILLIS;
+      }
+    }
+    double remainingRate = Math.max(startRate - precedingRate, MIN_RATE_SHARE * startRate);
+    return remainingRate <= 0 ? 0 : ahead / remainingRate;
+  }
+}
