Submit requests of fleet-scheduled services to the common queue

Relay and dispatcher hand waiting requests to a coordinator where the service's configuration states no limit for cold endpoints, check each grant again and fall back to the local queue.

--- a/buckthornferry/src/main/java/org/buckthornferry/catalog/Route.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Route.java
@@ -16,6 +16,7 @@
  * @param isPublic whether requests need no API key
  * @param isResumable whether an interrupted stream may be continued at another endpoint
  * @param allowedRegions the regions in which requests may run; empty for all
+ * @param patienceMillis how long callers wait for the first event before they leave
  */
 public record Route(
     String name,
@@ -30,7 +31,40 @@
     int priority,
     boolean isPublic,
     boolean isResumable,
-    List<String> allowedRegions) {
+    List<String> allowedRegions,
+    long patienceMillis) {
+
+  /** Creates a route whose callers wait until its timeout. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RouteKind kind,
+      List<WeightedService> weightedServices,
+      long timeoutMillis,
+      long latencyGoalMillis,
+      long gapGoalMillis,
+      int maxAttempts,
+      int priority,
+      boolean isPublic,
+      boolean isResumable,
+      List<String> allowedRegions) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        weightedServices,
+        timeoutMillis,
+        latencyGoalMillis,
+        gapGoalMillis,
+        maxAttempts,
+        priority,
+        isPublic,
+        isResumable,
+        allowedRegions,
+        timeoutMillis);
+  }
 
   /** A service and its weight in the division of a route's requests. */
   public record WeightedService(String serviceName, double weight) {}
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -490,11 +490,70 @@
 
   private record Choice(EndpointLoad load, long nextNanos) {}
 
+  /**
+   * Returns whether a coordinator may choose the endpoint of a request. It knows nothing of rate
+   * limits, canary versions and forwarding, which need decisions of this instance.
+   */
+  public boolean mayUseCoordinator(WaitingRequest request, long nowNanos) {
+    boolean needsCanary =
+        !isBoundToInstance(request)
+            && versions.wantsCanaryRequest(request.routeName())
+            && hasCanary();
+    return !needsCanary
+        && !rateLimits.hasLimits()
+        && !isCutOff(nowNanos)
+        && !isUnreachable(nowNanos);
+  }
+
+  private boolean hasCanary() {
+    for (EndpointLoad load : endpoints.values()) {
+      if (versions.isCanary(load.endpoint().version())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Places a request that does not wait in this queue on the endpoint that a coordinator has chosen
+   * for it. Returns false if the endpoint may not be used.
+   */
+  public boolean placeAt(WaitingRequest request, String endpointId, long nowNanos) {
+    EndpointLoad load = endpoints.get(endpointId);
+    boolean isUsable =
+        load != null
+            && request.mayUse(endpointId)
+            && load.mayTakeGranted(maxConnections(), nowNanos)
+            && load.coldLimitNanos(service, selfId, instanceIds, nowNanos) - nowNanos <= 0
+            && acceptsRequests(load.endpoint(), nowNanos)
+            && versions.mayUse(load.endpoint().version())
+            && !versions.isCanary(load.endpoint().version())
+            && mayUseCoordinator(request, nowNanos);
+    if (isUsable) {
+      start(request, load, nowNanos);
+    }
+    return isUsable;
+  }
+
+  /** Returns the number of requests of this instance at each endpoint that has any. */
+  public Map<String, Integer> runningByEndpoint() {
+    Map<String, Integer> running = new HashMap<>();
+    for (EndpointLoad load : endpoints.values()) {
+      if (load.running() > 0) {
+        running.put(load.endpoint().id(), load.running());
+      }
+    }
+    return running;
+  }
+
   private void place(WaitingRequest request, EndpointLoad load, long nowNanos) {
-    if (!queue.remove(request)) {
-      // The request has ended as a consequence of an earlier placement.
-      return;
+    // A request that has ended as a consequence of an earlier placement does not wait any more.
+    if (queue.remove(request)) {
+      start(request, load, nowNanos);
     }
+  }
+
+  private void start(WaitingRequest request, EndpointLoad load, long nowNanos) {
     placed++;
     placedWithKnownSpeed += load.speed().isKnown() ? 1 : 0;
     boolean needsPermit = needsPermit(load);
@@ -665,7 +724,7 @@
   private int maxRunning(EndpointLoad load) {
     int capacity = Math.max(1, load.endpoint().capacity());
     int instances = Math.max(1, instanceIds.size());
-    int connections = Math.max(1, service.maxConnections() / instances);
+    int connections = maxConnections();
     if (service.reservations().isPresent()) {
       return Math.min(capacity, connections);
     }
@@ -674,6 +733,11 @@
     return Math.min(Math.min(capacity, connections), Math.max(2, share));
   }
 
+  /** Returns this instance's part of the connections to an endpoint. */
+  private int maxConnections() {
+    return Math.max(1, service.maxConnections() / Math.max(1, instanceIds.size()));
+  }
+
   private SpeedSummary speeds() {
     if (speeds == null) {
       speeds = SpeedSummary.of(endpoints.values());
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/EndpointLoad.java
@@ -141,6 +141,11 @@
     return !isProbing || (reserving == 0 && (consecutiveFailures == 0 || running == 0));
   }
 
+  /** Returns whether the endpoint may get a request that a coordinator has granted a slot. */
+  boolean mayTakeGranted(int maxConnections, long nowNanos) {
+    return !isGone && running < maxConnections && failureBackoffUntilNanos - nowNanos <= 0;
+  }
+
   /** Forgets failures that were not the endpoint's. */
   void clearFailures(long nowNanos) {
     consecutiveFailures = 0;
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
@@ -14,6 +14,8 @@
   private final long arrivalNanos;
   private final long goalNanos;
   private final long deadlineNanos;
+  private final long patienceNanos;
+  private final long gapGoalMillis;
   private final boolean isCallerRetry;
   private final Listener listener;
   private final Set<String> excludedEndpoints = new HashSet<>();
@@ -55,6 +57,41 @@
       long deadlineNanos,
       boolean isCallerRetry,
       Listener listener) {
+    this(
+        requestId,
+        routeName,
+        priority,
+        size,
+        promptPrefix,
+        arrivalNanos,
+        goalNanos,
+        deadlineNanos,
+        deadlineNanos,
+        0,
+        isCallerRetry,
+        listener);
+  }
+
+  /**
+   * Creates a request whose caller may leave before the deadline.
+   *
+   * @param patienceNanos until when the caller waits for the first event
+   * @param gapGoalMillis the longest pause between events with which an answer is good; 0 without
+   *     events
+   */
+  public WaitingRequest(
+      String requestId,
+      String routeName,
+      Priority priority,
+      RequestSize size,
+      PromptPrefix promptPrefix,
+      long arrivalNanos,
+      long goalNanos,
+      long deadlineNanos,
+      long patienceNanos,
+      long gapGoalMillis,
+      boolean isCallerRetry,
+      Listener listener) {
     this.requestId = requestId;
     this.routeName = routeName;
     this.priority = priority;
@@ -63,6 +100,8 @@
     this.arrivalNanos = arrivalNanos;
     this.goalNanos = goalNanos;
     this.deadlineNanos = deadlineNanos;
+    this.patienceNanos = patienceNanos;
+    this.gapGoalMillis = gapGoalMillis;
     this.isCallerRetry = isCallerRetry;
     this.listener = listener;
   }
@@ -82,7 +121,8 @@
     return size;
   }
 
-  PromptPrefix promptPrefix() {
+  /** Returns the prompt prefix that other requests may share. */
+  public PromptPrefix promptPrefix() {
     return promptPrefix;
   }
 
@@ -117,7 +157,8 @@
     isLong = true;
   }
 
-  boolean isLong() {
+  /** Returns whether the answer is expected to be long for its route. */
+  public boolean isLong() {
     return isLong;
   }
 
@@ -128,23 +169,38 @@
     return first;
   }
 
-  String routeName() {
+  /** Returns the route, whose requests have a guaranteed share of the slots together. */
+  public String routeName() {
     return routeName;
   }
 
-  long arrivalNanos() {
+  /** Returns when the request arrived. */
+  public long arrivalNanos() {
     return arrivalNanos;
   }
 
-  long goalNanos() {
+  /** Returns until when the first event is on time. */
+  public long goalNanos() {
     return goalNanos;
   }
 
-  long deadlineNanos() {
+  /** Returns when the request is given up. */
+  public long deadlineNanos() {
     return deadlineNanos;
   }
 
-  Listener listener() {
+  /** Returns until when the caller waits for the first event. */
+  public long patienceNanos() {
+    return patienceNanos;
+  }
+
+  /** Returns the longest pause between events with which an answer is good, or 0 without events. */
+  public long gapGoalMillis() {
+    return gapGoalMillis;
+  }
+
+  /** Returns what carries out the decisions about the request. */
+  public Listener listener() {
     return listener;
   }
 
@@ -153,7 +209,8 @@
     return isCallerRetry;
   }
 
-  boolean hasBeenSent() {
+  /** Returns whether an attempt has failed. */
+  public boolean hasBeenSent() {
     return hasBeenSent;
   }
 
@@ -161,10 +218,16 @@
     return isCounted;
   }
 
-  boolean isContinuation() {
+  /** Returns whether a partly delivered stream continues. */
+  public boolean isContinuation() {
     return isContinuation;
   }
 
+  /** Returns the endpoints that failed this request. */
+  public Set<String> excludedEndpoints() {
+    return Set.copyOf(excludedEndpoints);
+  }
+
   boolean mayUse(String endpointId) {
     return !excludedEndpoints.contains(endpointId);
   }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -161,13 +161,16 @@
       capacities.onFull(processKey, concurrency, nowNanos);
     }
     if (grant != null && run.timing().isPresent()) {
-      observe(instanceId, processKey, grant, run.timing().get(), nowNanos);
+      EndedRun.Timing timing = run.timing().get();
+      if (run.outcome() == AttemptOutcome.COMPLETED) {
+        answerLengths.onAnswer(grant.ticket.size().expectedOutputTokens(), timing.events());
+      }
+      observe(instanceId, processKey, grant, timing, nowNanos);
     }
   }
 
   private void observe(
       String instanceId, String processKey, Grant grant, EndedRun.Timing timing, long nowNanos) {
-    answerLengths.onAnswer(grant.ticket.size().expectedOutputTokens(), timing.events());
     capacities.observe(
         processKey,
         new Observation(
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -186,6 +186,7 @@
             scheduler,
             MonotonicClock.SYSTEM,
             registry,
+            (serviceName, listener) -> new org.buckthornferry.fleetqueue.QueueClient(),
             settings.instanceId(),
             settings.failureDomain(),
             random);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Catalog;
@@ -32,6 +33,7 @@
 import org.buckthornferry.fleet.RolloutCoordinator;
 import org.buckthornferry.fleet.SharedAllowances;
 import org.buckthornferry.fleet.SharedAllowances.Decision;
+import org.buckthornferry.fleetqueue.QueueClient;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.HttpHandler;
@@ -106,6 +108,7 @@
       Scheduler scheduler,
       MonotonicClock clock,
       MetricRegistry registry,
+      BiFunction<String, QueueClient.Listener, QueueClient> queueClients,
       String selfId,
       String ownDomain,
       RandomGenerator random) {
@@ -121,7 +124,8 @@
             endpoints,
             scheduler,
             clock,
-            new RelayMetrics(registry));
+            new RelayMetrics(registry),
+            queueClients);
     this.allowances = allowances;
     this.loadLog = new LoadLog(environment.metrics());
     this.selfId = selfId;
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -1,10 +1,12 @@
 package org.buckthornferry.relay;
 
+import java.util.function.BiFunction;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.fleet.EndpointLimits;
 import org.buckthornferry.fleet.PartQuarantine;
 import org.buckthornferry.fleet.RolloutCoordinator;
+import org.buckthornferry.fleetqueue.QueueClient;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
@@ -21,4 +23,5 @@
     EndpointProtocol endpoints,
     Scheduler scheduler,
     MonotonicClock clock,
-    RelayMetrics metrics) {}
+    RelayMetrics metrics,
+    BiFunction<String, QueueClient.Listener, QueueClient> queueClients) {}
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -15,6 +15,7 @@
 import org.buckthornferry.dispatch.WaitingRequest;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
+import org.buckthornferry.fleetqueue.EndedRun;
 import org.buckthornferry.http.HttpCall;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
@@ -147,6 +148,8 @@
             arrivalNanos
                 + TimeUnit.MILLISECONDS.toNanos(route.latencyGoalMillis() - priorWaitMillis),
             deadlineNanos,
+            arrivalNanos + TimeUnit.MILLISECONDS.toNanos(route.patienceMillis()),
+            route.isStream() ? route.gapGoalMillis() : 0,
             priorWaitMillis > 0,
             this);
   }
@@ -639,6 +642,7 @@
     private long lastProgressNanos = sentNanos;
     private long headNanos;
     private long firstEventNanos;
+    private long longestGapNanos;
     private int events;
     private boolean isFramed;
     private boolean isForwarding;
@@ -730,10 +734,26 @@
       }
       returnPermit(
           placement, outcome == AttemptOutcome.FULL || outcome == AttemptOutcome.FULL_AND_CLOSING);
-      queue.onAttemptEnded(placement, false, outcome);
+      queue.onAttemptEnded(placement, false, outcome, timing(outcome));
       reportToCanaryTrial(outcome);
     }
 
+    /** Returns the times of the answer, or of the part of a stream that has arrived. */
+    private Optional<EndedRun.Timing> timing(AttemptOutcome outcome) {
+      if (events > 0) {
+        return Optional.of(
+            new EndedRun.Timing(
+                (firstEventNanos - sentNanos) / 1e6,
+                events,
+                (lastProgressNanos - firstEventNanos) / 1e6,
+                longestGapNanos / 1e6));
+      }
+      return outcome == AttemptOutcome.COMPLETED
+          ? Optional.of(
+              new EndedRun.Timing((environment.clock().nanoTime() - sentNanos) / 1e6, 0, 0, 0))
+          : Optional.empty();
+    }
+
     /** Reports the outcome to the canary trial of the version, unless the request did not run. */
     private void reportToCanaryTrial(AttemptOutcome outcome) {
       Optional<CanaryTrial.Ending> ending =
@@ -845,7 +865,9 @@
         exchange.write(event);
         return;
       }
-      lastProgressNanos = environment.clock().nanoTime();
+      long nowNanos = environment.clock().nanoTime();
+      longestGapNanos = events == 0 ? 0 : Math.max(longestGapNanos, nowNanos - lastProgressNanos);
+      lastProgressNanos = nowNanos;
       events++;
       if (!isSurvivalReported && hasSurvived()) {
         reportPartsAnswered();
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/ServiceQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -16,6 +17,7 @@
 import org.buckthornferry.dispatch.WaitingRequest;
 import org.buckthornferry.fleet.FleetView;
 import org.buckthornferry.fleet.OperatingBounds;
+import org.buckthornferry.fleetqueue.EndedRun;
 import org.buckthornferry.util.Scheduler;
 import org.jboss.logging.Logger;
 
@@ -48,6 +50,7 @@
   private final Runnable onCutOff;
   private final String serviceName;
   private final Dispatcher dispatcher;
+  private final FleetScheduling fleet;
   private final RetryBudget retryBudget;
   private Scheduler.Task wakeUpTask = Scheduler.Task.NONE;
   private long wakeUpNanos = Dispatcher.NEVER;
@@ -59,6 +62,7 @@
   private boolean wasCutOff;
   private boolean isDispatching;
   private boolean needsDispatch;
+  private boolean isFleetScheduled;
 
   /**
    * Creates a queue without endpoints.
@@ -87,11 +91,20 @@
             environment.rollouts().policy(service.name()),
             environment.limits(),
             forwarders);
+    this.isFleetScheduled = service.isFleetScheduled();
+    this.fleet =
+        new FleetScheduling(
+            service.name(),
+            environment.queueClients(),
+            dispatcher,
+            environment.clock(),
+            this::runDispatcher);
     this.retryBudget =
         new RetryBudget(environment.blackboard().read(OperatingBounds.ENTRY).retryWindowMillis());
   }
 
   void update(Service service, List<Endpoint> endpoints, List<String> instanceIds) {
+    isFleetScheduled = service.isFleetScheduled();
     dispatcher.setService(service);
     dispatcher.setEndpoints(endpoints);
     dispatcher.setInstances(instanceIds);
@@ -104,7 +117,7 @@
   }
 
   int waiting() {
-    return dispatcher.waiting();
+    return dispatcher.waiting() + fleet.waiting();
   }
 
   long placed() {
@@ -116,7 +129,7 @@
   }
 
   boolean hasFreeSlots() {
-    return dispatcher.hasFreeSlots(environment.clock().nanoTime());
+    return fleet.waiting() == 0 && dispatcher.hasFreeSlots(environment.clock().nanoTime());
   }
 
   int endpointCount() {
@@ -245,12 +258,16 @@
   }
 
   void submit(WaitingRequest request) {
+    if (isFleetScheduled && fleet.submit(request)) {
+      return;
+    }
     dispatcher.submit(request, environment.clock().nanoTime());
     runDispatcher();
   }
 
   void remove(WaitingRequest request) {
     dispatcher.remove(request);
+    fleet.remove(request);
   }
 
   void onSent(Placement placement) {
@@ -268,7 +285,21 @@
     dispatcher.onStreamEnd(placement, events, millis);
   }
 
+  /** Records the end of an attempt that has no answer. */
   void onAttemptEnded(Placement placement, boolean wasReserving, AttemptOutcome outcome) {
+    onAttemptEnded(placement, wasReserving, outcome, Optional.empty());
+  }
+
+  /**
+   * Records the end of an attempt.
+   *
+   * @param timing the times of the answer, or of the part of a stream that has arrived
+   */
+  void onAttemptEnded(
+      Placement placement,
+      boolean wasReserving,
+      AttemptOutcome outcome,
+      Optional<EndedRun.Timing> timing) {
     if (!placement.isForwarded()) {
       switch (outcome) {
         case COMPLETED, FAILED, FULL, FULL_AND_CLOSING, MISDIRECTED ->
@@ -279,6 +310,7 @@
       }
     }
     dispatcher.onAttemptEnded(placement, wasReserving, outcome, environment.clock().nanoTime());
+    fleet.onAttemptEnded(placement, outcome, timing);
     runDispatcher();
   }
 
