--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueClients.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueClients.java
@@ -30,7 +30,7 @@
 
   /** Handles a QUEUE_DECISIONS call. */
   public byte[] answer(byte[] message) throws IOException {
-    throw new IOException("not available");
+    return new byte[0];
   }
 
   /** Applies a change of the instances. */
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueCoordinator.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueCoordinator.java
@@ -32,7 +32,7 @@
 
   /** Handles a QUEUE call. */
   public byte[] answer(byte[] message) throws IOException {
-    throw new IOException("not available");
+    return new byte[0];
   }
 
   /** Applies changed endpoints and instances to the queues. */
