Register the processor share of each instance

The coordinator of a fleet-wide queue serves the calls of all instances, and instances have 0.36 to 1.5 processors. A record without the field reads as 1.0, so that instances of both versions understand each other.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/FleetView.java
@@ -17,14 +17,25 @@
  * @param failureDomains failure domains of the listed instances, by instance id
  * @param forwardAddresses addresses at which listed instances take requests to endpoints from
  *     instances that are cut off from these
+ * @param processorShares processor time that the instances may use, in cores, by instance id
  */
 public record FleetView(
     Map<String, InetSocketAddress> listed,
     Map<String, InetSocketAddress> lapsed,
     Map<String, String> failureDomains,
-    Map<String, InetSocketAddress> forwardAddresses) {
+    Map<String, InetSocketAddress> forwardAddresses,
+    Map<String, Double> processorShares) {
   /** Value before the first listing. */
-  public static final FleetView EMPTY = new FleetView(Map.of(), Map.of(), Map.of(), Map.of());
+  public static final FleetView EMPTY = new FleetView(Map.of(), Map.of(), Map.of());
+
+  /** The processor share of an instance that does not state it, in cores. */
+  public static final double DEFAULT_PROCESSOR_SHARE = 1.0;
+
+  /**
+   * The part of the largest processor share that a coordinator needs. A small instance would spend
+   * most of its processor time on the calls of the others.
+   */
+  private static final double MIN_COORDINATOR_SHARE = 0.5;
 
   /** Blackboard entry of the current view. */
   public static final BlackboardEntry<FleetView> ENTRY = BlackboardEntry.of("fleet", EMPTY);
@@ -41,14 +52,15 @@
     lapsed = Map.copyOf(lapsed);
     failureDomains = Map.copyOf(failureDomains);
     forwardAddresses = Map.copyOf(forwardAddresses);
+    processorShares = Map.copyOf(processorShares);
   }
 
-  /** Creates a view of instances that forward no requests. */
+  /** Creates a view of instances that forward no requests and have equal processor shares. */
   public FleetView(
       Map<String, InetSocketAddress> listed,
       Map<String, InetSocketAddress> lapsed,
       Map<String, String> failureDomains) {
-    this(listed, lapsed, failureDomains, Map.of());
+    this(listed, lapsed, failureDomains, Map.of(), Map.of());
   }
 
   /** Returns the ids of the listed instances in a failure domain, sorted. */
@@ -78,6 +90,19 @@
     return addresses;
   }
 
+  /** Returns the ids of the instances that have enough processor time to coordinate a queue. */
+  public List<String> coordinatorIds() {
+    List<String> ids = instanceIds();
+    double largest = ids.stream().mapToDouble(this::processorShare).max().orElse(0);
+    return ids.stream()
+        .filter(id -> processorShare(id) >= MIN_COORDINATOR_SHARE * largest)
+        .toList();
+  }
+
+  private double processorShare(String instanceId) {
+    return processorShares.getOrDefault(instanceId, DEFAULT_PROCESSOR_SHARE);
+  }
+
   /** Returns the number of instances that share a fleet-wide bound. */
   public int instanceCount() {
     return listed.isEmpty() ? ASSUMED_INSTANCES : listed.size() + lapsed.size();
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRecord.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRecord.java
@@ -17,22 +17,26 @@
  * @param forwardAddress address on which the instance takes requests to endpoints from peers that
  *     are cut off from these; empty if it takes none
  * @param failureDomain failure domain of the instance
+ * @param processorShare processor time that the instance may use, in cores
  */
 record InstanceRecord(
     InetSocketAddress peerAddress,
     Optional<InetSocketAddress> forwardAddress,
-    String failureDomain) {
+    String failureDomain,
+    double processorShare) {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String PEER_ADDRESS = "peerAddress";
   private static final String FORWARD_ADDRESS = "forwardAddress";
   private static final String FAILURE_DOMAIN = "failureDomain";
+  private static final String PROCESSOR_SHARE = "processorShare";
 
   byte[] encode() {
     ObjectNode node =
         JsonNodeFactory.instance
             .objectNode()
             .put(PEER_ADDRESS, Addresses.format(peerAddress))
-            .put(FAILURE_DOMAIN, failureDomain);
+            .put(FAILURE_DOMAIN, failureDomain)
+            .put(PROCESSOR_SHARE, processorShare);
     forwardAddress.ifPresent(address -> node.put(FORWARD_ADDRESS, Addresses.format(address)));
     return node.toString().getBytes(StandardCharsets.UTF_8);
   }
@@ -45,7 +49,8 @@
           Addresses.parse(node.path(PEER_ADDRESS).asText()),
           Optional.ofNullable(node.get(FORWARD_ADDRESS))
               .map(address -> Addresses.parse(address.asText())),
-          node.path(FAILURE_DOMAIN).asText());
+          node.path(FAILURE_DOMAIN).asText(),
+          node.path(PROCESSOR_SHARE).asDouble(FleetView.DEFAULT_PROCESSOR_SHARE));
     } catch (IllegalArgumentException e) {
       throw new IOException(e.getMessage(), e);
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/InstanceRegistry.java
@@ -89,6 +89,7 @@
   private Map<String, InetSocketAddress> listed = Map.of();
   private Map<String, String> failureDomains = Map.of();
   private Map<String, InetSocketAddress> forwardAddresses = Map.of();
+  private Map<String, Double> processorShares = Map.of();
   private Optional<Lease> lease = Optional.empty();
   private long leaseTtlMillis;
   private StorePosition registeredAt = StorePosition.NONE;
@@ -97,12 +98,13 @@
   private boolean wasRegistered;
   private boolean stopped;
 
-  private record Lapsed(InetSocketAddress address, long untilNanos) {}
+  private record Lapsed(InetSocketAddress address, double processorShare, long untilNanos) {}
 
   /**
    * Creates a registry that does not register until started.
    *
    * @param forwardAddress address at which this instance takes requests to endpoints from others
+   * @param processorShare processor time that this instance may use, in cores
    * @param onChanged called after each write to the blackboard
    */
   public InstanceRegistry(
@@ -112,6 +114,7 @@
       InetSocketAddress peerAddress,
       Optional<InetSocketAddress> forwardAddress,
       String failureDomain,
+      double processorShare,
       Blackboard blackboard,
       Runnable onChanged,
       Scheduler scheduler,
@@ -120,7 +123,7 @@
     this.store = store;
     this.view = view;
     this.selfId = selfId;
-    this.self = new InstanceRecord(peerAddress, forwardAddress, failureDomain);
+    this.self = new InstanceRecord(peerAddress, forwardAddress, failureDomain, processorShare);
     this.viewWriter = blackboard.writerOf(FleetView.ENTRY);
     this.onChanged = onChanged;
     this.scheduler = scheduler;
@@ -254,12 +257,14 @@
     Map<String, InetSocketAddress> registered = new HashMap<>();
     Map<String, String> domains = new HashMap<>();
     Map<String, InetSocketAddress> forwards = new HashMap<>();
+    Map<String, Double> shares = new HashMap<>();
     for (StoreItem item : view.items(PREFIX)) {
       try {
         String id = item.key().substring(PREFIX.length());
         InstanceRecord other = InstanceRecord.decode(item.value());
         registered.put(id, other.peerAddress());
         domains.put(id, other.failureDomain());
+        shares.put(id, other.processorShare());
         other.forwardAddress().ifPresent(address -> forwards.put(id, address));
       } catch (IOException e) {
         LOG.warnf("instance.unreadable key=%s reason=%s", item.key(), e.getMessage());
@@ -269,6 +274,7 @@
     if (!wasRegistered || registered.isEmpty()) {
       registered.put(selfId, self.peerAddress());
       domains.put(selfId, self.failureDomain());
+      shares.put(selfId, self.processorShare());
     }
     if (!registered.keySet().equals(listed.keySet())) {
       LOG.infof(
@@ -282,13 +288,16 @@
             long retentionMillis =
                 id.equals(selfId) ? LAPSED_SELF_RETENTION_MILLIS : LAPSED_RETENTION_MILLIS;
             long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(retentionMillis);
-            lapsed.putIfAbsent(id, new Lapsed(address, untilNanos));
+            double processorShare =
+                processorShares.getOrDefault(id, FleetView.DEFAULT_PROCESSOR_SHARE);
+            lapsed.putIfAbsent(id, new Lapsed(address, processorShare, untilNanos));
             scheduler.schedule(this::publish, retentionMillis + 1);
           }
         });
     listed = Map.copyOf(registered);
     failureDomains = Map.copyOf(domains);
     forwardAddresses = Map.copyOf(forwards);
+    processorShares = Map.copyOf(shares);
     publish();
   }
 
@@ -300,8 +309,14 @@
             entry ->
                 listed.containsKey(entry.getKey()) || entry.getValue().untilNanos - nowNanos <= 0);
     Map<String, InetSocketAddress> lapsedAddresses = new HashMap<>();
-    lapsed.forEach((id, entry) -> lapsedAddresses.put(id, entry.address));
-    viewWriter.accept(new FleetView(listed, lapsedAddresses, failureDomains, forwardAddresses));
+    Map<String, Double> shares = new HashMap<>(processorShares);
+    lapsed.forEach(
+        (id, entry) -> {
+          lapsedAddresses.put(id, entry.address);
+          shares.put(id, entry.processorShare);
+        });
+    viewWriter.accept(
+        new FleetView(listed, lapsedAddresses, failureDomains, forwardAddresses, shares));
     onChanged.run();
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -202,6 +202,7 @@
             settings.peerAddress(),
             settings.forwardAddress(),
             settings.failureDomain(),
+            settings.processorShare(),
             blackboard,
             relay::refresh,
             scheduler,
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
@@ -96,6 +96,7 @@
             Addresses.parse("127.0.0.1:1"),
             Optional.empty(),
             "domain-a",
+            0.36,
             target,
             () -> {},
             time,
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/VirtualInstance.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/VirtualInstance.java
@@ -62,6 +62,7 @@
             address,
             Optional.empty(),
             domain,
+            FleetView.DEFAULT_PROCESSOR_SHARE,
             blackboard,
             this::onChanged,
             process,
