--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -17,7 +17,11 @@
   /** Asks for a permit of an endpoint with a rate limit, or tells what is known of the limit. */
   LIMIT(6),
   /** Reports crashes, answers and findings about parts of prompts that crash endpoints. */
-  PARTS(7);
+  PARTS(7),
+  /** Submits tickets to the coordinator of a service's queue and reports ended runs. */
+  QUEUE(8),
+  /** Tells an instance the decisions of the coordinator of a service's queue. */
+  QUEUE_DECISIONS(9);
 
   private final byte code;
 
