--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -203,6 +203,7 @@
             settings.peerAddress(),
             settings.forwardAddress(),
             settings.failureDomain(),
+            settings.processorShare(),
             blackboard,
             relay::refresh,
             scheduler,
