--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -22,6 +22,8 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Catalog;
+import org.buckthornferry.concurrency.CapacityModel;
+import org.buckthornferry.concurrency.LimitPolicy;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
@@ -41,6 +43,9 @@
 import org.buckthornferry.fleet.SharedAllowances;
 import org.buckthornferry.fleet.StoreView;
 import org.buckthornferry.fleet.ViewExchange;
+import org.buckthornferry.fleetqueue.FleetQueue;
+import org.buckthornferry.fleetqueue.QueueClients;
+import org.buckthornferry.fleetqueue.QueueCoordinator;
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.HttpLimits;
@@ -94,6 +99,8 @@
   private final PeerRpc peers;
   private final RolloutCoordinator rollouts;
   private final EndpointLimits limits;
+  private final QueueCoordinator queueCoordinator;
+  private final QueueClients queueClients;
   private final StoreView storeView;
   private final ViewExchange viewExchange;
   private final HttpServer callerServer;
@@ -172,6 +179,27 @@
         new EndpointLimits(
             blackboard, peers, settings.instanceId(), scheduler, viewClock, registry);
     peers.addHandler(PeerMessageKind.LIMIT, limits::answer);
+    this.queueCoordinator =
+        new QueueCoordinator(
+            blackboard,
+            peers,
+            settings.instanceId(),
+            random.nextLong(),
+            this::fleetQueue,
+            scheduler,
+            MonotonicClock.SYSTEM,
+            registry);
+    peers.addHandler(PeerMessageKind.QUEUE, queueCoordinator::answer);
+    this.queueClients =
+        new QueueClients(
+            blackboard,
+            peers,
+            settings.instanceId(),
+            random.nextLong(),
+            queueCoordinator,
+            scheduler,
+            MonotonicClock.SYSTEM);
+    peers.addHandler(PeerMessageKind.QUEUE_DECISIONS, queueClients::answer);
     this.relay =
         new Relay(
             blackboard,
@@ -186,7 +214,7 @@
             scheduler,
             MonotonicClock.SYSTEM,
             registry,
-            (serviceName, listener) -> new org.buckthornferry.fleetqueue.QueueClient(),
+            queueClients::create,
             settings.instanceId(),
             settings.failureDomain(),
             random);
@@ -194,7 +222,7 @@
     peers.addAsyncHandler(PeerMessageKind.CHANGES, changeFeed::answer);
     this.deployment =
         new DeploymentController(
-            storeView, source, blackboard, relay::refresh, scheduler, MonotonicClock.SYSTEM);
+            storeView, source, blackboard, this::refreshRelay, scheduler, MonotonicClock.SYSTEM);
     this.instances =
         new InstanceRegistry(
             sharedStore,
@@ -205,7 +233,7 @@
             settings.failureDomain(),
             settings.processorShare(),
             blackboard,
-            relay::refresh,
+            this::refreshRelay,
             scheduler,
             MonotonicClock.SYSTEM,
             random);
@@ -299,8 +327,17 @@
     schedule(() -> stopped.complete(null), FLUSH_MILLIS);
   }
 
+  private FleetQueue fleetQueue(String serviceName) {
+    return new FleetQueue(
+        new CapacityModel(LimitPolicy.LEARNED),
+        rollouts.policy(serviceName),
+        new SplittableRandom());
+  }
+
   private void refreshRelay() {
     relay.refresh();
+    queueCoordinator.refresh();
+    queueClients.refresh();
   }
 
   private List<InetSocketAddress> otherInstances() {
