--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.buckthornferry.catalog.Endpoint;
+import org.buckthornferry.concurrency.CapacityEstimate;
 import org.buckthornferry.dispatch.AttemptOutcome;
 import org.buckthornferry.dispatch.PromptPrefix;
 
@@ -57,6 +58,7 @@
         }
       };
   private Endpoint endpoint;
+  private CapacityEstimate estimate = new CapacityEstimate(1, 0, 0, 0, 0, 0, 0);
   private int running;
   private int consecutiveFull;
   private int consecutiveFailures;
@@ -79,6 +81,15 @@
     endpoint = newer;
   }
 
+  /** Returns what was last estimated of its speed and its limit. */
+  CapacityEstimate estimate() {
+    return estimate;
+  }
+
+  void setEstimate(CapacityEstimate newEstimate) {
+    estimate = newEstimate;
+  }
+
   /** Returns the number of requests of all instances at the endpoint. */
   int running() {
     return running;
@@ -94,10 +105,6 @@
     return !isGone && mayProbe && backoffUntilNanos - nowNanos <= 0;
   }
 
-  long backoffUntilNanos() {
-    return backoffUntilNanos;
-  }
-
   void onGranted(String instanceId, PromptPrefix prefix, long nowNanos) {
     setRunning(instanceId, runningByInstance.getOrDefault(instanceId, 0) + 1);
     if (prefix.tokens() > 0) {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Endpoint;
-import org.buckthornferry.concurrency.CapacityEstimate;
 import org.buckthornferry.concurrency.CapacityModel;
 import org.buckthornferry.concurrency.Observation;
 import org.buckthornferry.dispatch.AnswerLengths;
@@ -24,6 +25,12 @@
  * instances reserve the slots, so a wrong count costs a rejected reservation and nothing else.
  */
 public final class FleetQueue {
+  /**
+   * The interval at which positions in the queue and estimates of endpoints are computed anew, in
+   * milliseconds. Computing them for each decision took most of the coordinator's processor time.
+   */
+  private static final long REFRESH_MILLIS = 20;
+
   /** Returned by {@link #nextDueNanos} when nothing is due without a further event. */
   public static final long NEVER = Long.MAX_VALUE;
 
@@ -31,7 +38,7 @@
    * The maximum number of tickets per decision that are passed over because no free endpoint suits
    * them; looking past the first avoids head-of-line blocking.
    */
-  private static final int MAX_SKIPPED = 16;
+  private static final int MAX_SKIPPED = 8;
 
   /** The expected time until a slot becomes free at a busy endpoint, in milliseconds. */
   private static final long SLOT_WAIT_MILLIS = 100;
@@ -61,7 +68,7 @@
   private final VersionPolicy versions;
   private final RandomGenerator random;
   private final Map<String, EndpointState> endpoints = new HashMap<>();
-  private final Map<TicketKey, QueuedTicket> tickets = new LinkedHashMap<>();
+  private final Map<TicketKey, QueuedTicket> tickets = new HashMap<>();
   private final Map<TicketKey, Grant> grants = new HashMap<>();
   private final Map<TicketKey, Boolean> counted =
       new LinkedHashMap<>() {
@@ -73,11 +80,19 @@
   private final ClassShares shares = new ClassShares();
   private final WaitEstimate waits = new WaitEstimate();
   private final AnswerLengths answerLengths = new AnswerLengths();
+  private final List<QueuedTicket> ordered = new ArrayList<>();
+  private final List<QueuedTicket> unjudged = new ArrayList<>();
   private Map<String, List<Decision>> decisions = new LinkedHashMap<>();
+  private Optional<EndpointState> fastest = Optional.empty();
+  private long refreshedNanos = Long.MIN_VALUE / 2;
+  private long changes;
   private int slots;
   private long granted;
   private long refused;
 
+  private static final Comparator<QueuedTicket> BY_POSITION =
+      Comparator.comparing(QueuedTicket::position);
+
   /** A request that has been granted a slot and has not ended. */
   private record Grant(
       String endpointId,
@@ -111,6 +126,11 @@
       slots += endpoint.capacity();
     }
     capacities.setEndpoints(slotsByProcess);
+    for (EndpointState state : endpoints.values()) {
+      state.setEstimate(capacities.estimate(state.endpoint().processKey(), nowNanos));
+    }
+    refreshedNanos = Long.MIN_VALUE / 2;
+    changes++;
   }
 
   /**
@@ -119,13 +139,17 @@
    */
   public void submit(String instanceId, String failureDomain, Ticket ticket, long nowNanos) {
     TicketKey key = new TicketKey(instanceId, ticket.number());
+    remove(key);
     QueuedTicket queued = new QueuedTicket(key, failureDomain, ticket, nowNanos);
-    tickets.put(key, queued);
     boolean isNew = counted.put(key, true) == null;
     if (isNew) {
       shares.onArrival(ticket, nowNanos);
     }
     queued.setPosition(position(queued, nowNanos));
+    tickets.put(key, queued);
+    int index = Collections.binarySearch(ordered, queued, BY_POSITION);
+    ordered.add(index < 0 ? -index - 1 : index, queued);
+    unjudged.add(queued);
     if (isNew) {
       waits.onAdmitted(queued.position(), nowNanos);
     }
@@ -133,7 +157,15 @@
 
   /** Removes a ticket whose request does not wait any more. */
   public void withdraw(String instanceId, long ticketNumber) {
-    tickets.remove(new TicketKey(instanceId, ticketNumber));
+    remove(new TicketKey(instanceId, ticketNumber));
+  }
+
+  private void remove(TicketKey key) {
+    QueuedTicket queued = tickets.remove(key);
+    if (queued != null) {
+      ordered.remove(queued);
+      unjudged.remove(queued);
+    }
   }
 
   /** Returns the number of tickets of an instance. */
@@ -155,6 +187,7 @@
       return;
     }
     int concurrency = endpoint.running();
+    changes++;
     endpoint.onEnded(instanceId, run.outcome(), nowNanos);
     String processKey = endpoint.endpoint().processKey();
     if (run.outcome() == AttemptOutcome.FULL) {
@@ -206,13 +239,19 @@
       int count = Math.max(stated, fresh.getOrDefault(entry.getKey(), 0));
       entry.getValue().setRunning(instanceId, count);
     }
+    changes++;
   }
 
   /** Forgets the tickets and runs of an instance that has left. */
   public void removeInstance(String instanceId) {
-    tickets.keySet().removeIf(key -> key.instanceId().equals(instanceId));
+    for (TicketKey key : List.copyOf(tickets.keySet())) {
+      if (key.instanceId().equals(instanceId)) {
+        remove(key);
+      }
+    }
     grants.keySet().removeIf(key -> key.instanceId().equals(instanceId));
     endpoints.values().forEach(endpoint -> endpoint.removeInstance(instanceId));
+    changes++;
   }
 
   /** Grants free slots and refuses what cannot be served; returns the decisions by instance. */
@@ -221,20 +260,51 @@
     if (tickets.isEmpty()) {
       return decisions;
     }
-    for (QueuedTicket queued : tickets.values()) {
+    boolean isRefreshed =
+        nowNanos - refreshedNanos >= TimeUnit.MILLISECONDS.toNanos(REFRESH_MILLIS);
+    if (isRefreshed) {
+      refresh(nowNanos);
+    }
+    grantFreeSlots(nowNanos);
+    refuseHopeless(isRefreshed ? List.copyOf(ordered) : List.copyOf(unjudged), nowNanos);
+    unjudged.clear();
+    return decisions;
+  }
+
+  private void refresh(long nowNanos) {
+    refreshedNanos = nowNanos;
+    changes++;
+    for (QueuedTicket queued : ordered) {
       queued.setPosition(position(queued, nowNanos));
     }
+    ordered.sort(BY_POSITION);
+    EndpointState best = null;
+    for (EndpointState endpoint : endpoints.values()) {
+      endpoint.setEstimate(capacities.estimate(endpoint.endpoint().processKey(), nowNanos));
+      boolean isFaster =
+          best == null || endpoint.estimate().millisPerToken() < best.estimate().millisPerToken();
+      if (isFaster && isUsable(endpoint, nowNanos)) {
+        best = endpoint;
+      }
+    }
+    fastest = Optional.ofNullable(best);
+  }
+
+  private void grantFreeSlots(long nowNanos) {
     List<EndpointState> free = freeEndpoints(nowNanos);
     int skipped = 0;
-    while (!free.isEmpty() && skipped < MAX_SKIPPED) {
-      QueuedTicket first = firstUnskipped();
-      if (first == null) {
-        break;
+    int next = 0;
+    while (!free.isEmpty() && skipped < MAX_SKIPPED && next < ordered.size()) {
+      QueuedTicket first = ordered.get(next);
+      if (first.isSkippedAt(changes)) {
+        next++;
+        continue;
       }
       Optional<EndpointState> endpoint = choose(first, free, nowNanos);
       if (endpoint.isEmpty()) {
-        first.skip();
+        first.skipAt(changes);
         skipped++;
+        next++;
         continue;
       }
       grant(first, endpoint.get(), nowNanos);
@@ -242,26 +312,11 @@
         free.remove(endpoint.get());
       }
     }
-    refuseHopeless(nowNanos);
-    return decisions;
   }
 
   /** Returns when to decide again although nothing happens, or {@link #NEVER}. */
   public long nextDueNanos(long nowNanos) {
-    if (tickets.isEmpty()) {
-      return NEVER;
-    }
-    double nextMillis = Double.MAX_VALUE;
-    for (QueuedTicket queued : tickets.values()) {
-      nextMillis = Math.min(nextMillis, usefulWaitMillis(queued, nowNanos));
-    }
-    long nextNanos = nowNanos + (long) (Math.max(1, nextMillis) * 1e6);
-    for (EndpointState endpoint : endpoints.values()) {
-      if (endpoint.backoffUntilNanos() - nowNanos > 0) {
-        nextNanos = Math.min(nextNanos, endpoint.backoffUntilNanos());
-      }
-    }
-    return nextNanos;
+    return tickets.isEmpty() ? NEVER : nowNanos + TimeUnit.MILLISECONDS.toNanos(REFRESH_MILLIS);
   }
 
   private QueuePosition position(QueuedTicket queued, long nowNanos) {
@@ -315,7 +370,7 @@
   }
 
   private boolean hasRoom(EndpointState endpoint, long nowNanos) {
-    return isUsable(endpoint, nowNanos) && endpoint.running() < limit(endpoint, nowNanos);
+    return endpoint.running() < endpoint.estimate().limit() && isUsable(endpoint, nowNanos);
   }
 
   private boolean isUsable(EndpointState endpoint, long nowNanos) {
@@ -325,21 +380,6 @@
         && !versions.isCanary(version);
   }
 
-  private int limit(EndpointState endpoint, long nowNanos) {
-    return capacities.estimate(endpoint.endpoint().processKey(), nowNanos).limit();
-  }
-
-  private QueuedTicket firstUnskipped() {
-    QueuedTicket first = null;
-    for (QueuedTicket queued : tickets.values()) {
-      if (!queued.isSkipped()
-          && (first == null || queued.position().compareTo(first.position()) < 0)) {
-        first = queued;
-      }
-    }
-    return first;
-  }
-
   /** Returns the best free endpoint, or empty when a busy one is worth waiting for. */
   private Optional<EndpointState> choose(
       QueuedTicket queued, List<EndpointState> free, long nowNanos) {
@@ -367,37 +407,34 @@
 
   private PlacementScore score(
       QueuedTicket queued, EndpointState endpoint, boolean isScarce, long nowNanos) {
-    CapacityEstimate estimate = capacities.estimate(endpoint.endpoint().processKey(), nowNanos);
     return PlacementScore.of(
         queued,
         endpoint,
-        estimate,
         expectedEvents(queued.ticket()),
         capacities.meanMillisPerToken(),
         isScarce,
         nowNanos);
   }
 
-  /** Returns whether an endpoint that is full now keeps more goals, even after a wait. */
-  private boolean isBusyEndpointBetter(QueuedTicket queued, PlacementScore.Fit fit, long nowNanos) {
+  /** Returns whether the fastest endpoint keeps more goals, even after a wait for a slot. */
+  private boolean isBusyEndpointBetter(
+      QueuedTicket queued, PlacementScore.Fit fit, long nowNanos) {
     long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
-    for (EndpointState endpoint : endpoints.values()) {
-      boolean isCandidate =
-          isUsable(endpoint, nowNanos)
-              && !queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id());
-      if (isCandidate
-          && score(queued, endpoint, /* isScarce= */ false, laterNanos).fit().compareTo(fit) < 0) {
-        return true;
-      }
-    }
-    return false;
+    return fastest
+        .filter(
+            endpoint ->
+                !queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id()))
+        .filter(
+            endpoint ->
+                score(queued, endpoint, /* isScarce= */ false, laterNanos).fit().compareTo(fit) < 0)
+        .isPresent();
   }
 
   private void grant(QueuedTicket queued, EndpointState endpoint, long nowNanos) {
     Ticket ticket = queued.ticket();
     double uncachedTokens = PlacementScore.uncachedTokens(ticket, endpoint, nowNanos);
     endpoint.onGranted(queued.key().instanceId(), ticket.promptPrefix(), nowNanos);
-    tickets.remove(queued.key());
+    remove(queued.key());
     grants.put(
         queued.key(),
         new Grant(
@@ -414,10 +451,11 @@
   }
 
   /** Refuses requests for which no slot can become free while they can still be answered. */
-  private void refuseHopeless(long nowNanos) {
-    for (QueuedTicket queued : List.copyOf(tickets.values())) {
+  private void refuseHopeless(List<QueuedTicket> candidates, long nowNanos) {
+    for (QueuedTicket queued : candidates) {
       Ticket ticket = queued.ticket();
-      if (ticket.hasBeenSent() || ticket.isContinuation()) {
+      boolean isWaiting = tickets.get(queued.key()) == queued;
+      if (!isWaiting || ticket.hasBeenSent() || ticket.isContinuation()) {
         continue;
       }
       double usefulMillis = usefulWaitMillis(queued, nowNanos);
@@ -430,7 +468,7 @@
       boolean isFirstLook = !queued.isAdmitted();
       queued.markAdmitted();
       if (isFirstLook && !shares.isBelowGuarantee(ticket, nowNanos)) {
-        int ahead = ahead(queued);
+        int ahead = ordered.indexOf(queued);
         double waitMillis = waits.expectedMillis(queued.position(), ahead, nowNanos);
         if (waitMillis > usefulMillis) {
           String detail = String.format("%d requests wait, %.0f ms expected", ahead, waitMillis);
@@ -440,19 +478,9 @@
     }
   }
 
-  private int ahead(QueuedTicket queued) {
-    int ahead = 0;
-    for (QueuedTicket other : tickets.values()) {
-      if (other != queued && other.position().compareTo(queued.position()) <= 0) {
-        ahead++;
-      }
-    }
-    return ahead;
-  }
-
   private void refuse(
       QueuedTicket queued, ErrorKind reason, String detail, double waitMillis, long nowNanos) {
-    tickets.remove(queued.key());
+    remove(queued.key());
     refused++;
     double longestMillis =
         Math.max(MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_SHARE * queued.deadlineMillis(nowNanos));
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/PlacementScore.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/PlacementScore.java
@@ -59,12 +59,12 @@
   static PlacementScore of(
       QueuedTicket queued,
       EndpointState endpoint,
-      CapacityEstimate estimate,
       double expectedEvents,
       double meanMillisPerToken,
       boolean isScarce,
       long nowNanos) {
     Ticket ticket = queued.ticket();
+    CapacityEstimate estimate = endpoint.estimate();
     double uncachedTokens = uncachedTokens(ticket, endpoint, nowNanos);
     double firstEventMillis =
         estimate.millisPerToken() * (uncachedTokens + CapacityModel.FIXED_COST_TOKENS);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueuedTicket.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueuedTicket.java
@@ -12,7 +12,7 @@
   private final long patienceNanos;
   private final long deadlineNanos;
   private QueuePosition position = QueuePosition.FIRST;
-  private boolean isSkipped;
+  private long skippedAt = -1;
   private boolean isAdmitted;
 
   QueuedTicket(TicketKey key, String failureDomain, Ticket ticket, long nowNanos) {
@@ -60,15 +60,15 @@
 
   void setPosition(QueuePosition newPosition) {
     position = newPosition;
-    isSkipped = false;
   }
 
-  boolean isSkipped() {
-    return isSkipped;
+  /** Returns whether no endpoint suited it, and nothing has changed since then. */
+  boolean isSkippedAt(long changes) {
+    return skippedAt == changes;
   }
 
-  void skip() {
-    isSkipped = true;
+  void skipAt(long changes) {
+    skippedAt = changes;
   }
 
   /** Returns whether its expected wait has been judged. */
