--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueClient.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueClient.java
@@ -265,16 +265,6 @@
       withdrawn.clear();
       unsent.addAll(tickets);
     }
-    List<Ticket> submitted = takeTickets();
-    boolean isStatementDue =
-        isComplete
-            || nowNanos - statedNanos >= TimeUnit.MILLISECONDS.toNanos(STATEMENT_INTERVAL_MILLIS);
-    Optional<Map<String, Integer>> running =
-        isStatementDue ? Optional.of(listener.running()) : Optional.empty();
-    if (running.isPresent()) {
-      statedNanos = nowNanos;
-      hasStatedRuns = !running.get().isEmpty();
-    }
     isCompleteDue = false;
     isCallDue = false;
     isInFlight = true;
@@ -285,10 +275,10 @@
             calls.incarnation(),
             service,
             isComplete,
-            submitted,
+            takeTickets(),
             take(withdrawn),
             take(ended),
-            running);
+            takeStatement(isComplete, nowNanos));
     Completions.onComplete(
         calls.call(coordinatorId, request),
         (reply, failure) -> {
@@ -304,6 +294,20 @@
         });
   }
 
+  /** Returns the number of running requests by endpoint if it is to be stated. */
+  private Optional<Map<String, Integer>> takeStatement(boolean isComplete, long nowNanos) {
+    boolean isDue =
+        isComplete
+            || nowNanos - statedNanos >= TimeUnit.MILLISECONDS.toNanos(STATEMENT_INTERVAL_MILLIS);
+    if (!isDue) {
+      return Optional.empty();
+    }
+    Map<String, Integer> running = listener.running();
+    statedNanos = nowNanos;
+    hasStatedRuns = !running.isEmpty();
+    return Optional.of(running);
+  }
+
   private List<Ticket> takeTickets() {
     List<Ticket> taken = new ArrayList<>();
     Iterator<Long> numbers = unsent.iterator();
