--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -417,13 +417,11 @@
   }
 
   /** Returns whether the fastest endpoint keeps more goals, even after a wait for a slot. */
-  private boolean isBusyEndpointBetter(
-      QueuedTicket queued, PlacementScore.Fit fit, long nowNanos) {
+  private boolean isBusyEndpointBetter(QueuedTicket queued, PlacementScore.Fit fit, long nowNanos) {
     long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
     return fastest
         .filter(
-            endpoint ->
-                !queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id()))
+            endpoint -> !queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id()))
         .filter(
             endpoint ->
                 score(queued, endpoint, /* isScarce= */ false, laterNanos).fit().compareTo(fit) < 0)
--- a/buckthornferry/src/test/java/org/buckthornferry/fleetqueue/CallerLoad.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleetqueue/CallerLoad.java
@@ -93,8 +93,7 @@
     }
 
     boolean isOnTime() {
-      return firstEventMicros >= 0
-          && firstEventMicros - arrivalMicros <= 1_000 * route.goalMillis;
+      return firstEventMicros >= 0 && firstEventMicros - arrivalMicros <= 1_000 * route.goalMillis;
     }
 
     boolean isServed() {
@@ -228,8 +227,7 @@
         firstMicros,
         () -> {
           boolean isWaiting =
-              nowMicros - caller.arrivalMicros
-                  <= 1_000 * caller.route.deadlineMillis;
+              nowMicros - caller.arrivalMicros <= 1_000 * caller.route.deadlineMillis;
           caller.firstEventMicros = isWaiting ? nowMicros : -1;
         });
     after(
@@ -244,8 +242,7 @@
   /** Lets the caller of a refused request retry once. */
   void refuse(Caller caller, long retryAfterMillis) {
     boolean mayRetry =
-        !caller.hasRetried
-            && nowMicros + 1_000 * retryAfterMillis < caller.deadlineMicros();
+        !caller.hasRetried && nowMicros + 1_000 * retryAfterMillis < caller.deadlineMicros();
     if (!mayRetry) {
       caller.isRefused = true;
       return;
--- a/buckthornferry/src/test/java/org/buckthornferry/fleetqueue/FleetQueueLoadTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleetqueue/FleetQueueLoadTest.java
@@ -69,9 +69,7 @@
       text.append(
           String.format(
               ", %s on time %.3f served %.3f",
-              route,
-              load.share(route, Caller::isOnTime),
-              load.share(route, Caller::isServed)));
+              route, load.share(route, Caller::isOnTime), load.share(route, Caller::isServed)));
     }
     return text.toString();
   }
@@ -151,8 +149,7 @@
     private void decide() {
       queue.decide(load.nowNanos()).values().stream()
           .flatMap(List::stream)
-          .forEach(
-              decision -> load.after(CallerLoad.MESSAGE_MICROS, () -> carryOut(decision)));
+          .forEach(decision -> load.after(CallerLoad.MESSAGE_MICROS, () -> carryOut(decision)));
       long nextNanos = queue.nextDueNanos(load.nowNanos());
       if (nextNanos < wakeUpNanos) {
         wakeUpNanos = nextNanos;
@@ -217,8 +214,7 @@
 
     private QueuePerInstance(CallerLoad load, int instances) {
       this.load = load;
-      Service service =
-          new Service("s", 1_000, 0, 0, Optional.of(new Service.Reservations(1_000)));
+      Service service = new Service("s", 1_000, 0, 0, Optional.of(new Service.Reservations(1_000)));
       List<Endpoint> endpoints = new ArrayList<>();
       load.engines.forEach(engine -> endpoints.add(endpoint(engine)));
       List<String> ids = new ArrayList<>();
@@ -281,8 +277,7 @@
       Route route = caller.route;
       double firstMillis = route.firstEventMillis(engine.factor);
       dispatcher.onFirstEvent(placement, firstMillis);
-      dispatcher.onStreamEnd(
-          placement, route.events, route.runMillis(engine.factor) - firstMillis);
+      dispatcher.onStreamEnd(placement, route.events, route.runMillis(engine.factor) - firstMillis);
       dispatcher.onAttemptEnded(placement, false, AttemptOutcome.COMPLETED, load.nowNanos());
       dispatch(caller.instance);
     }
