--- a/buckthornferry/src/main/java/org/buckthornferry/catalog/Service.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Service.java
@@ -11,6 +11,8 @@
  *     per second; 0 for no limit
  * @param reservations the slot reservations, or empty when the endpoints offer none
  * @param isFleetScheduled whether the requests of all instances wait in one queue
+ * @param scaling the terms on which the number of endpoints may be changed, or empty when it is
+ *     fixed
  */
 public record Service(
     String name,
@@ -18,7 +20,26 @@
     long warmupMillis,
     double coldRequestsPerSecond,
     Optional<Reservations> reservations,
-    boolean isFleetScheduled) {
+    boolean isFleetScheduled,
+    Optional<Scaling> scaling) {
+
+  /** Creates a service with a fixed number of endpoints. */
+  public Service(
+      String name,
+      int maxConnections,
+      long warmupMillis,
+      double coldRequestsPerSecond,
+      Optional<Reservations> reservations,
+      boolean isFleetScheduled) {
+    this(
+        name,
+        maxConnections,
+        warmupMillis,
+        coldRequestsPerSecond,
+        reservations,
+        isFleetScheduled,
+        Optional.empty());
+  }
 
   /** Creates a service whose requests wait at the instances that received them. */
   public Service(
@@ -44,4 +65,21 @@
       return Math.min(DEFAULT_MILLIS, maxMillis);
     }
   }
+
+  /**
+   * The terms on which the number of endpoints may be changed.
+   *
+   * @param min the smallest number of endpoints in each failure domain
+   * @param max the largest number of endpoints in each failure domain
+   * @param startupMillis the time from the order of an endpoint until it serves
+   */
+  public record Scaling(int min, int max, long startupMillis) {
+    /** Fails if the limits are negative or contradict each other. */
+    public Scaling {
+      if (min < 0 || max < min || startupMillis < 0) {
+        throw new IllegalArgumentException(
+            "invalid scaling terms: min " + min + ", max " + max + ", startup " + startupMillis);
+      }
+    }
+  }
 }
