--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/StoreView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/StoreView.java
@@ -34,7 +34,7 @@
   private StorePosition publishedPosition = StorePosition.NONE;
 
   /** Receives notifications of changes under one prefix. */
-  interface Subscriber {
+  public interface Subscriber {
     /** Returns the key prefix of interest. */
     String prefix();
 
@@ -69,7 +69,7 @@
   }
 
   /** Adds a subscriber. Must be called before {@link #start}. */
-  void subscribe(Subscriber subscriber) {
+  public void subscribe(Subscriber subscriber) {
     subscribers.add(subscriber);
   }
 
@@ -87,12 +87,12 @@
    * Returns the items whose keys start with {@code prefix}. Items that a restored store has lost
    * are among them until they are written again or removed.
    */
-  Collection<StoreItem> items(String prefix) {
+  public Collection<StoreItem> items(String prefix) {
     return follower.items(prefix);
   }
 
   /** Returns an item, or empty if there is none. */
-  Optional<StoreItem> item(String key) {
+  public Optional<StoreItem> item(String key) {
     return follower.item(key);
   }
 
@@ -100,12 +100,12 @@
    * Returns the items under a prefix that a restored store has brought back although they had been
    * removed.
    */
-  List<StoreItem> resurrectedItems(String prefix) {
+  public List<StoreItem> resurrectedItems(String prefix) {
     return follower.resurrectedItems(prefix);
   }
 
   /** Returns the position up to which the copy is complete. */
-  StorePosition position() {
+  public StorePosition position() {
     return follower.position();
   }
 
