Count the demand for each service

The autoscaling duty needs what requests ask for, not what is served. The instance counts arrivals, slot time of ended attempts, waiting requests and refusals for lack of a slot in a DemandCounter, which RelayedRequest calls.

--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -35,6 +35,7 @@
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.HttpHandler;
+import org.buckthornferry.scaling.DemandCounter;
 import org.buckthornferry.util.Completions;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
@@ -121,7 +122,8 @@
             endpoints,
             scheduler,
             clock,
-            new RelayMetrics(registry));
+            new RelayMetrics(registry),
+            new DemandCounter(clock));
     this.allowances = allowances;
     this.loadLog = new LoadLog(environment.metrics());
     this.selfId = selfId;
@@ -195,6 +197,11 @@
     return forwardHandler;
   }
 
+  /** Returns the demand at this instance. */
+  public DemandCounter demand() {
+    return environment.demand();
+  }
+
   private int running(Endpoint endpoint) {
     ServiceQueue queue = queues.get(endpoint.serviceName());
     return queue == null ? 0 : queue.running(endpoint);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -6,6 +6,7 @@
 import org.buckthornferry.fleet.PartQuarantine;
 import org.buckthornferry.fleet.RolloutCoordinator;
 import org.buckthornferry.http.HttpConnector;
+import org.buckthornferry.scaling.DemandCounter;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
 
@@ -21,4 +22,5 @@
     EndpointProtocol endpoints,
     Scheduler scheduler,
     MonotonicClock clock,
-    RelayMetrics metrics) {}
+    RelayMetrics metrics,
+    DemandCounter demand) {}
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -161,6 +161,7 @@
 
   void start() {
     queue.onRequest();
+    environment.demand().onArrival(queue.serviceName(), isCallerRetry());
     exchange.onWritabilityChanged(
         () -> currentAttempt.ifPresent(attempt -> attempt.call.setReading(exchange.isWritable())));
     deadlineTask = environment.scheduler().schedule(this::onDeadline, remainingMillis());
@@ -417,6 +418,7 @@
     phase = headForwarded ? Phase.ANSWERING : Phase.SENT;
     attempts++;
     queue.onSent(placement);
+    environment.demand().onSent(queue.serviceName());
     environment.metrics().sent.inc();
     environment.metrics().waitedMillis.update(elapsedMillis());
     LOG.infof(
@@ -522,6 +524,7 @@
       return;
     }
     environment.metrics().failed(failure.kind()).inc();
+    environment.demand().onFailed(queue.serviceName(), failure.kind());
     LOG.infof(
         "request.failed id=%s kind=%s detail=\"%s\" attempts=%d answered=%s retryAfterMillis=%d"
             + " elapsedMillis=%d",
@@ -570,6 +573,7 @@
     phase = Phase.ENDED;
     deadlineTask.cancel();
     queue.remove(waiting);
+    environment.demand().onEnded(queue.serviceName());
     onEnded.accept(this, attempts > 0);
   }
 
@@ -731,6 +735,7 @@
       returnPermit(
           placement, outcome == AttemptOutcome.FULL || outcome == AttemptOutcome.FULL_AND_CLOSING);
       queue.onAttemptEnded(placement, false, outcome);
+      environment.demand().onAttemptEnded(queue.serviceName(), sentNanos, outcome);
       reportToCanaryTrial(outcome);
     }
 
