--- a/buckthornferry/src/main/java/org/buckthornferry/duty/DutyHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/DutyHolder.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.buckthornferry.store.StoreTransaction;
 
 /** This instance's part in the election of the holder of one subject. Used by one thread. */
 public interface DutyHolder {
@@ -41,6 +42,14 @@
    */
   void onReply(long fencingToken, DutyReply reply);
 
+  /**
+   * Returns the condition that this instance is the holder, for its own writes to the store; empty
+   * when it is not.
+   */
+  default Optional<StoreTransaction.Condition> storeCondition() {
+    return Optional.empty();
+  }
+
   /** Returns the id of the instance that holds the subject, as far as known here. */
   Optional<String> holderId();
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/DutyReply.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/DutyReply.java
@@ -12,6 +12,8 @@
   UNAVAILABLE(true, false),
   /** No usable reply arrived; the call may be carried out, possibly seconds later. */
   UNKNOWN(true, false),
+  /** This instance may not act; nothing was sent. */
+  NOT_SENT(false, false),
   /** The platform rejected the content of the call; a repetition has the same result. */
   INVALID(false, false);
 
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
@@ -91,8 +91,9 @@
    *
    * @param value the value of the key, which no other try has
    * @param sentNanos when the lease was asked for
+   * @param era the store's era in which no other holder may act
    */
-  private record Attempt(String value, long sentNanos) {}
+  private record Attempt(String value, long sentNanos, long era) {}
 
   /** The time as holder, under one token. */
   private static final class Tenure {
@@ -183,8 +184,8 @@
     return phase == Phase.STOPPED;
   }
 
-  /** Returns the store's condition that this instance is still the holder, for its own writes. */
-  Optional<StoreTransaction.Condition> condition() {
+  @Override
+  public Optional<StoreTransaction.Condition> storeCondition() {
     return tenure.map(held -> new StoreTransaction.Condition(key, held.since.revision()));
   }
 
@@ -266,10 +267,7 @@
 
   /** Schedules a try to become the holder, if the subject has none. */
   private void consider() {
-    boolean isOccupied =
-        storedItem().filter(item -> !isOwnRestored(item)).isPresent()
-            || !view.resurrectedItems(key).isEmpty();
-    if (isOccupied) {
+    if (isOccupied()) {
       mayTakeOverAtOnce = false;
       cancelStep();
       return;
@@ -282,6 +280,11 @@
         mayTakeOverAtOnce ? 0 : Math.max(millisUntil(notBeforeNanos), rankDelayMillis()));
   }
 
+  private boolean isOccupied() {
+    return storedItem().filter(item -> !isOwnRestored(item)).isPresent()
+        || !view.resurrectedItems(key).isEmpty();
+  }
+
   private boolean isOwnRestored(StoreItem item) {
     return mayTakeOverAtOnce && item.text().equals(lastValue);
   }
@@ -303,14 +306,16 @@
   }
 
   private void acquire() {
-    if (!mayAcquire()) {
-      // The store was restored meanwhile.
+    if (phase != Phase.CANDIDATE || isOccupied() || !mayAcquire()) {
+      // A step that became due while the process was suspended cannot be cancelled any more.
       return;
     }
     phase = Phase.ACQUIRING;
     long revision = storedItem().map(StoreItem::revision).orElse(0L);
     long sentNanos = clock.nanoTime();
-    Attempt current = new Attempt(Long.toHexString(random.nextLong()) + " " + selfId, sentNanos);
+    Attempt current =
+        new Attempt(
+            Long.toHexString(random.nextLong()) + " " + selfId, sentNanos, view.position().era());
     attempt = Optional.of(current);
     attemptLease = Optional.empty();
     Completions.onComplete(
@@ -321,8 +326,7 @@
           }
           if (failure != null) {
             abandon("no lease: " + failure.getMessage(), jittered(RETRY_MILLIS));
-          } else if (lease.era() != view.position().era()) {
-            // This instance does not know yet that the store was restored.
+          } else if (lease.era() != current.era) {
             abandon("the store was restored", terms.ttlMillis());
           } else {
             write(current, lease, revision);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/MessageCodec.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/MessageCodec.java
@@ -12,20 +12,20 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** MessagePack helpers for the messages between instances. */
-final class MessageCodec {
+public final class MessageCodec {
   /** Longest accepted key or name, in bytes. */
   private static final int MAX_TEXT_BYTES = 1_024;
 
   /** Writes the fields of one message. */
   @FunctionalInterface
-  interface FieldWriter {
+  public interface FieldWriter {
     void write(MessageBufferPacker packer) throws IOException;
   }
 
   private MessageCodec() {}
 
   /** Returns a message with the fields that {@code fieldWriter} writes. */
-  static byte[] pack(FieldWriter fieldWriter) {
+  public static byte[] pack(FieldWriter fieldWriter) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       fieldWriter.write(packer);
       return packer.toByteArray();
@@ -35,7 +35,7 @@
   }
 
   /** Reads a key or name; the size claimed by the sender is checked before memory is allocated. */
-  static String readText(MessageUnpacker unpacker) throws IOException {
+  public static String readText(MessageUnpacker unpacker) throws IOException {
     int bytes = unpacker.unpackRawStringHeader();
     if (bytes > MAX_TEXT_BYTES) {
       throw new IOException("text of " + bytes + " bytes exceeds " + MAX_TEXT_BYTES);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -17,7 +17,9 @@
   /** Asks for a permit of an endpoint with a rate limit, or tells what is known of the limit. */
   LIMIT(6),
   /** Reports crashes, answers and findings about parts of prompts that crash endpoints. */
-  PARTS(7);
+  PARTS(7),
+  /** Reports the runs that an instance has counted, for the usage reports. */
+  USAGE(10);
 
   private final byte code;
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/StoreView.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/StoreView.java
@@ -110,7 +110,7 @@
   }
 
   /** Writes to the store and returns the position of the write. */
-  CompletableFuture<StorePosition> write(StoreTransaction transaction) {
+  public CompletableFuture<StorePosition> write(StoreTransaction transaction) {
     return follower.write(transaction);
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/store/StoreTransaction.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/store/StoreTransaction.java
@@ -40,6 +40,13 @@
     return new StoreTransaction(more, writes, removals);
   }
 
+  /** Returns this transaction with the added removal of {@code key}. */
+  public StoreTransaction andRemove(String key) {
+    List<String> more = new ArrayList<>(removals);
+    more.add(key);
+    return new StoreTransaction(conditions, writes, more);
+  }
+
   /** Returns the conditions, which must all hold. */
   public List<Condition> conditions() {
     return conditions;
