--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -18,6 +18,8 @@
   LIMIT(6),
   /** Reports crashes, answers and findings about parts of prompts that crash endpoints. */
   PARTS(7),
+  /** Reports the runs that an instance has counted, for the usage reports. */
+  USAGE(10),
   /** Reports an instance's demand to the instances that order endpoints. */
   DEMAND(11);
 
--- a/buckthornferry/src/main/java/org/buckthornferry/scaling/DemandMessages.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/scaling/DemandMessages.java
@@ -39,7 +39,7 @@
 
   private DemandMessages() {}
 
-  static byte[] encode(Report report) {
+  static byte[] encodeReport(Report report) {
     return pack(
         packer -> {
           packer.packString(report.senderId).packString(report.failureDomain);
@@ -80,7 +80,7 @@
         });
   }
 
-  static byte[] encode(Reply reply) {
+  static byte[] encodeReply(Reply reply) {
     return pack(
         packer -> {
           packer.packMapHeader(reply.ordered.size());
--- a/buckthornferry/src/main/java/org/buckthornferry/scaling/ScalingController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/scaling/ScalingController.java
@@ -142,7 +142,7 @@
         }
       }
     }
-    return DemandMessages.encode(new DemandMessages.Reply(ordered));
+    return DemandMessages.encodeReply(new DemandMessages.Reply(ordered));
   }
 
   private void onPeriod() {
@@ -236,7 +236,7 @@
     DemandMessages.Report report = new DemandMessages.Report(selfId, ownDomain, counts);
     reports.onReport(report, clock.nanoTime());
     receivers.remove(selfId);
-    byte[] message = DemandMessages.encode(report);
+    byte[] message = DemandMessages.encodeReport(report);
     Map<String, InetSocketAddress> addresses = blackboard.read(FleetView.ENTRY).addresses();
     for (String receiver : receivers) {
       if (addresses.containsKey(receiver) && pendingReports.add(receiver)) {
