Make the orders through the calls of duties

DutyCalls reads the token directly before a call, logs each failure and keeps the age of the duty, so that the controller need not.

Measured: ScalingControllerTest (3 tests) and ScalingDecisionTest (6) pass.

--- a/buckthornferry/src/main/java/org/buckthornferry/scaling/ScalingController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/scaling/ScalingController.java
@@ -18,10 +18,12 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Catalog;
 import org.buckthornferry.catalog.Endpoint;
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.duty.DutyCalls;
 import org.buckthornferry.duty.DutyHolder;
 import org.buckthornferry.duty.DutyHolders;
 import org.buckthornferry.duty.DutyPlatform;
@@ -54,6 +56,7 @@
 
   private final DutyHolders holders;
   private final DutyPlatform platform;
+  private final DutyCalls calls;
   private final DemandCounter counter;
   private final Blackboard blackboard;
   private final PeerCaller peers;
@@ -99,7 +102,8 @@
       String ownDomain,
       Scheduler scheduler,
       MonotonicClock clock,
-      MetricRegistry registry) {
+      MetricRegistry registry,
+      RandomGenerator random) {
     this.holders = holders;
     this.platform = platform;
     this.counter = counter;
@@ -109,6 +113,7 @@
     this.ownDomain = ownDomain;
     this.scheduler = scheduler;
     this.clock = clock;
+    this.calls = new DutyCalls(DUTY, registry, scheduler, clock, random);
     this.orders = registry.counter("scaling.orders");
     registry.gauge("scaling.desired", () -> (Gauge<Integer>) this::desired);
   }
@@ -127,8 +132,13 @@
     return CompletableFuture.allOf(stopped.toArray(new CompletableFuture<?>[0]));
   }
 
-  private static List<CompletableFuture<Void>> stop(ScaledService service) {
-    return service.subjects.values().stream().map(subject -> subject.holder.stop()).toList();
+  private List<CompletableFuture<Void>> stop(ScaledService service) {
+    List<CompletableFuture<Void>> stopped = new ArrayList<>();
+    for (Subject subject : service.subjects.values()) {
+      calls.remove(subject.holder);
+      stopped.add(subject.holder.stop());
+    }
+    return stopped;
   }
 
   /** Records the report of another instance; returns the numbers that this one has ordered. */
@@ -203,6 +213,7 @@
                 subject.order = Optional.empty();
               }
             });
+    calls.add(subject.holder);
     subject.holder.start();
     return subject;
   }
@@ -330,14 +341,11 @@
     if (!state.isDue(order.desired, order.serving, startupMillis, nowNanos)) {
       return;
     }
-    Optional<Long> token = subject.holder.fencingToken();
-    if (token.isEmpty()) {
+    if (subject.holder.fencingToken().isEmpty()) {
       return;
     }
     state.onCalled(order.desired, nowNanos);
     orders.inc();
-    CompletableFuture<DutyReply> reply =
-        platform.orderEndpoints(token.get(), order.serviceName, order.failureDomain, order.desired);
     LOG.infof(
         "scaling.ordered service=%s domain=%s desired=%d serving=%d demandSlots=%s",
         order.serviceName,
@@ -346,14 +354,15 @@
         order.serving,
         String.format(Locale.ROOT, "%.1f", order.demandSlots));
     Completions.onComplete(
-        reply,
-        (result, failure) -> {
-          // A repetition of an invalid order has the same result; a changed one is sent anyway.
-          state.onEnded(result == DutyReply.ACCEPTED || result == DutyReply.INVALID);
-          if (failure == null) {
-            subject.holder.onReply(token.get(), result);
-          }
-        });
+        calls.callOnce(
+            subject.holder,
+            "desired=" + order.desired,
+            token ->
+                platform.orderEndpoints(
+                    token, order.serviceName, order.failureDomain, order.desired)),
+        // A repetition of an invalid order has the same result; a changed one is sent anyway.
+        (reply, failure) ->
+            state.onEnded(reply == DutyReply.ACCEPTED || reply == DutyReply.INVALID));
   }
 
   private int desired() {
--- a/buckthornferry/src/test/java/org/buckthornferry/scaling/ScalingControllerTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/scaling/ScalingControllerTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.buckthornferry.catalog.Catalog;
@@ -87,7 +88,8 @@
               domain,
               time,
               time,
-              new MetricRegistry());
+              new MetricRegistry(),
+              new SplittableRandom(1));
       instances.put(id, this);
       controller.start();
     }
