Wire the usage reports into the instance

An instance counts runs and stands for election where the settings have cloud_api with the duty usage_report.

--- a/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
@@ -167,7 +167,7 @@
 
   @Override
   public CompletableFuture<Void> stop() {
-    Optional<Tenure> last = tenure;
+    final Optional<Tenure> last = tenure;
     phase = Phase.STOPPED;
     cancelStep();
     attempt = Optional.empty();
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
@@ -8,7 +8,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -153,13 +152,18 @@
     pass();
   }
 
-  /** Gives the duty up and passes the last counts on. */
-  public CompletableFuture<Void> stop() {
+  /** Gives the duty up; counts are still passed on, because requests in progress go on. */
+  public void release() {
+    var unused = holder.stop();
+    nextWork.cancel();
+  }
+
+  /** Ends the reporter and passes the last counts on. */
+  public void stop() {
+    release();
     isStopped = true;
     nextPass.cancel();
-    nextWork.cancel();
     receiver().ifPresent(sender::sendTo);
-    return holder.stop();
   }
 
   /** Takes in the counts of another instance. */
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -23,6 +23,7 @@
 import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Catalog;
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.duty.UsageCounter;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
 import org.buckthornferry.fleet.ChangeFeed;
@@ -96,18 +97,35 @@
   private final EndpointLimits limits;
   private final StoreView storeView;
   private final ViewExchange viewExchange;
+  private final DutyServices duties;
   private final HttpServer callerServer;
   private final List<HttpServer> servers = new ArrayList<>();
   private volatile boolean draining;
   private boolean wasReady;
 
+  /**
+   * Creates a node without duties that does not listen yet.
+   *
+   * @param store creates the client of the shared store from a connector
+   */
+  public RelayNode(
+      RelayNodeSettings settings,
+      Function<HttpConnector, SharedStore> store,
+      DeploymentSource source,
+      CallerProtocol callers,
+      EndpointProtocol endpoints) {
+    this(settings, Optional.empty(), store, source, callers, endpoints);
+  }
+
   /**
    * Creates a node that does not listen yet.
    *
+   * @param dutySettings the duties towards the platform, or empty for none
    * @param store creates the client of the shared store from a connector
    */
   public RelayNode(
       RelayNodeSettings settings,
+      Optional<DutySettings> dutySettings,
       Function<HttpConnector, SharedStore> store,
       DeploymentSource source,
       CallerProtocol callers,
@@ -172,6 +190,21 @@
         new EndpointLimits(
             blackboard, peers, settings.instanceId(), scheduler, viewClock, registry);
     peers.addHandler(PeerMessageKind.LIMIT, limits::answer);
+    UsageCounter usageCounter = DutyServices.counter(dutySettings);
+    this.duties =
+        new DutyServices(
+            dutySettings,
+            usageCounter,
+            sharedStore,
+            storeView,
+            blackboard,
+            peers,
+            connector,
+            settings.instanceId(),
+            registry,
+            scheduler,
+            viewClock,
+            random);
     this.relay =
         new Relay(
             blackboard,
@@ -180,6 +213,7 @@
             partQuarantine,
             rollouts,
             limits,
+            usageCounter,
             connector,
             callers,
             endpoints,
@@ -237,6 +271,7 @@
           limits.start();
           instances.start();
           viewExchange.start();
+          duties.start();
         });
     List<CompletableFuture<?>> started = new ArrayList<>();
     started.add(peers.start());
@@ -267,6 +302,7 @@
         () -> {
           LOG.infof("instance.stopping inProgress=%d", relay.inProgress());
           relay.stopForwarding();
+          duties.release();
           var unused =
               instances
                   .stop()
@@ -291,6 +327,7 @@
     storeView.stop();
     viewExchange.stop();
     limits.stop();
+    duties.stop();
     peers.stop();
     LOG.infof("instance.stopped inProgress=%d elapsedMillis=%d", relay.inProgress(), elapsedMillis);
     relay.endRequests();
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -21,6 +21,7 @@
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.dispatch.ForwardingPeers;
+import org.buckthornferry.duty.UsageCounter;
 import org.buckthornferry.endpoint.Verdict;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
@@ -100,6 +101,7 @@
       PartQuarantine partQuarantine,
       RolloutCoordinator rollouts,
       EndpointLimits limits,
+      UsageCounter usage,
       HttpConnector connector,
       CallerProtocol callers,
       EndpointProtocol endpoints,
@@ -117,6 +119,7 @@
             partQuarantine,
             rollouts,
             limits,
+            usage,
             callers,
             endpoints,
             scheduler,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -1,6 +1,7 @@
 package org.buckthornferry.relay;
 
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.duty.UsageCounter;
 import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.fleet.EndpointLimits;
 import org.buckthornferry.fleet.PartQuarantine;
@@ -17,6 +18,7 @@
     PartQuarantine partQuarantine,
     RolloutCoordinator rollouts,
     EndpointLimits limits,
+    UsageCounter usage,
     CallerProtocol callers,
     EndpointProtocol endpoints,
     Scheduler scheduler,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -92,6 +92,7 @@
   private boolean headForwarded;
   private boolean mayHaveRun;
   private boolean hasPermit;
+  private boolean isCounted;
   private Optional<Attempt> failedResponse = Optional.empty();
 
   private enum Phase {
@@ -226,6 +227,14 @@
         });
   }
 
+  /** Counts the request for the usage report, once. */
+  private void countRun(long beganNanos) {
+    if (!isCounted) {
+      isCounted = true;
+      customer.ifPresent(payer -> environment.usage().onRunBegan(payer.name(), beganNanos));
+    }
+  }
+
   /** Gives the permit of the current attempt back, if it has one. */
   private void returnPermit(Placement placement, boolean wasRejected) {
     if (hasPermit) {
@@ -632,6 +641,7 @@
     private final Placement placement;
     private final long sentNanos = environment.clock().nanoTime();
     private final EventSplitter splitter = new EventSplitter();
+    private final boolean isContinuation = headForwarded || lastEventId.isPresent();
     private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream(256);
     private HttpCall call = HttpCall.NONE;
     private ResponseHead head;
@@ -873,6 +883,9 @@
       firstEventNanos = environment.clock().nanoTime();
       double millis = (firstEventNanos - sentNanos) / 1e6;
       queue.onFirstEvent(placement, millis);
+      if (!isContinuation) {
+        countRun(firstEventNanos);
+      }
       environment.metrics().firstEventMillis.update(elapsedMillis());
     }
 
@@ -909,6 +922,7 @@
       ResponseKind responseKind = ResponseKind.of(head);
       close(responseKind.outcome());
       if (responseKind == ResponseKind.SERVED) {
+        countRun(headNanos);
         reportContentServed();
       }
       if (phase == Phase.ENDED) {
