Reject responses without a valid status in the HTTP client

Cause: Netty parses the status with Integer.parseInt, so 000, 099, 600, 1000, +200, 0200 and 20 were statuses, and any version was accepted. Such a response reached the caller as its own response, directly and through another instance.

Change: ResponseDecoder accepts HTTP/1.0 and HTTP/1.1 with three digits, 100 to 199 without 101 for interim and 200 to 599 for final responses. Anything else is malformed; the call fails and the connection closes.

--- a/buckthornferry/src/main/java/org/buckthornferry/http/ResponseDecoder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ResponseDecoder.java
@@ -13,17 +13,25 @@
 
 /**
  * Decodes the responses on a client connection, and rejects what belongs to none: bytes that arrive
- * while no request waits for a response, and heads that a fragment of an earlier response has been
- * joined to. Also tells how the inbound direction has ended, since the end of a response without a
- * length looks the same whether the server has closed the connection or the connection has broken.
+ * while no request waits for a response, heads without a valid status, and heads that a fragment of
+ * an earlier response has been joined to. Also tells how the inbound direction has ended, since the
+ * end of a response without a length looks the same whether the server has closed the connection or
+ * the connection has broken.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
   private static final String STATUS_LINE_START = "HTTP/";
 
+  private static final String JOINED_HEADS = "a status line within the head of another response";
+
   /** The status line of a response that follows an unfinished line. */
   private static final Pattern STATUS_LINE =
       Pattern.compile(STATUS_LINE_START + "\\d\\.\\d \\d{3}");
 
+  /** An interim status other than 101, which no request asks for, or a final one. */
+  private static final Pattern STATUS = Pattern.compile("1(?!01)\\d\\d|[2-5]\\d\\d");
+
+  private static final Pattern VERSION = Pattern.compile(STATUS_LINE_START + "1\\.[01]");
+
   private enum State {
     OPEN,
     CLOSED_BY_SERVER,
@@ -70,6 +78,15 @@
     }
   }
 
+  /** Creates the head; Netty takes any integer for a status, as 000, 1000 and +200. */
+  @Override
+  protected HttpMessage createMessage(String[] statusLine) {
+    boolean isValid =
+        VERSION.matcher(statusLine[0]).matches() && STATUS.matcher(statusLine[1]).matches();
+    check(isValid, "no valid version and status");
+    return super.createMessage(statusLine);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     if (message instanceof HttpResponse response) {
@@ -83,17 +100,17 @@
     for (Map.Entry<String, String> field : response.headers()) {
       checkLine(field.getValue());
       // The decoder takes a status line for a field whose name ends at the first space.
-      check(!field.getKey().contains(STATUS_LINE_START));
+      check(!field.getKey().contains(STATUS_LINE_START), JOINED_HEADS);
     }
   }
 
   private static void checkLine(String text) {
-    check(!text.contains(STATUS_LINE_START) || !STATUS_LINE.matcher(text).find());
+    check(!text.contains(STATUS_LINE_START) || !STATUS_LINE.matcher(text).find(), JOINED_HEADS);
   }
 
-  private static void check(boolean isSound) {
+  private static void check(boolean isSound, String fault) {
     if (!isSound) {
-      throw new IllegalArgumentException("a status line within the head of another response");
+      throw new IllegalArgumentException(fault);
     }
   }
 
--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -196,6 +196,57 @@
     }
   }
 
+  /** Guards against statuses that are none, after an interim response and on a kept connection. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 None",
+        "HTTP/1.1 099 Low",
+        "HTTP/1.1 1000 High",
+        "HTTP/1.1 600 High",
+        "HTTP/1.1 999 High",
+        "HTTP/1.1 +200 Sign",
+        "HTTP/1.1 -200 Sign",
+        "HTTP/1.1 0200 Long",
+        "HTTP/1.1 20 Short",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 101 Other\r\nConnection: upgrade\r\nUpgrade: other",
+        "HTTP/1.1  None",
+        "HTTP/1.1 ",
+        "HTTP/1.1",
+        "HTTP/2.0 200 OK",
+        "RTSP/1.0 200 OK",
+        "200 OK",
+        "no status line"
+      })
+  void aResponseWithoutAValidStatusFails(String statusLine) {
+    for (String interim : new String[] {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      for (String rest : new String[] {"Content-Length: 2\r\n\r\nok", "\r\nok"}) {
+        for (Reuse reuse : new Reuse[] {Reuse.NONE, Reuse.ANY}) {
+          response = OWN_RESPONSE;
+          get(Reuse.ANY);
+          response = interim + statusLine + "\r\n" + rest;
+          String outcome =
+              exchange(reuse)
+                  .handle((reply, failure) -> failure == null ? "" + reply.status() : "" + failure)
+                  .join();
+          assertWithMessage(reuse + " " + response).that(outcome).contains("malformed response");
+        }
+      }
+    }
+  }
+
+  /** Guards against statuses that are rejected although they are valid. */
+  @ParameterizedTest
+  @ValueSource(strings = {"200", "226", "299", "302", "404", "451", "499", "500", "599"})
+  void aResponseWithAValidStatusAfterAnInterimOneIsComplete(String status) {
+    for (String interim : new String[] {"", "100 Continue", "102", "103 Early", "199 Any"}) {
+      String first = interim.isEmpty() ? "" : "HTTP/1.1 " + interim + "\r\n\r\n";
+      response = first + "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok";
+      assertThat(get(Reuse.ANY).status()).isEqualTo(Integer.parseInt(status));
+    }
+  }
+
   /** Guards against skipped responses whose broken end completes the request. */
   @Test
   void aSkippedResponseWithoutALengthDoesNotCompleteTheRequest() {
@@ -457,6 +508,11 @@
         .join();
   }
 
+  private CompletableFuture<HttpReply> exchange(Reuse reuse) {
+    return connector.exchange(
+        address(server), "GET", "/", Map.of(), new byte[0], reuse, fields -> true, 64 << 10, 2_000);
+  }
+
   private HttpFailure failure() {
     CompletionException failed = assertThrows(CompletionException.class, () -> get(Reuse.NONE));
     return (HttpFailure) failed.getCause();
