Count the end of a response only when its request is written

Cause: an orderly close ended a response without a length although the request was still being written. A process that ends, or a close with unread bytes in Java, ends its direction in order and then resets the connection; the caller got the part as a complete response.

Change: ClientConnection holds such an end back until the connection has taken the whole request. A reset under the rest fails the call, and so does a server that reads nothing for 5 s. A server that ends its response early and goes on reading still completes it.

--- a/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.agrona.collections.IntHashSet;
 
 /** Channel handler that passes the response on one connection to the pending call. */
@@ -27,6 +28,12 @@
   /** The maximum number of request ids on one connection; bounds the memory for them. */
   private static final int MAX_REQUEST_IDS = 1_000;
 
+  /**
+   * How long a server that has ended its response may take to read the rest of the request, in
+   * milliseconds. Servers discard the rest of a request for some seconds before they close.
+   */
+  private static final long END_PENDING_MILLIS = 5_000;
+
   private final ResponseDecoder decoder;
 
   /** The hashes of the ids of all requests; requests with equal ones use other connections. */
@@ -37,6 +44,12 @@
   /** The call whose response is complete, until the end of the read shows if more bytes follow. */
   private PendingCall ended;
 
+  /** Requests of which the connection has not taken all bytes. */
+  private int unwrittenRequests;
+
+  /** Whether the server has ended the response to a request that is being written. */
+  private boolean isEndPending;
+
   private boolean isSkipping;
   private int skippedResponses;
   private long skippedBytes;
@@ -49,6 +62,7 @@
   /** Expects the response to a call; returns the number of the call on this connection. */
   long begin(PendingCall newCall, boolean isHeadRequest) {
     requests++;
+    unwrittenRequests++;
     if (!newCall.requestId().isEmpty()) {
       requestIdHashes.add(newCall.requestId().hashCode());
     }
@@ -59,6 +73,16 @@
     return requests;
   }
 
+  /** Called when the connection has taken the whole of a request. */
+  void onRequestWritten() {
+    unwrittenRequests--;
+    if (isEndPending && unwrittenRequests == 0) {
+      isEndPending = false;
+      endCall();
+      finishEnded(/* isReusable= */ false);
+    }
+  }
+
   /** Returns whether a request may be sent as far as its id is concerned. */
   boolean mayCarry(String requestId) {
     return requestId.isEmpty() || !requestIdHashes.contains(requestId.hashCode());
@@ -93,7 +117,7 @@
         failAndClose(context, new IOException("connection broken before the response ended"));
         return;
       } else {
-        onContent(content);
+        onContent(context, content);
       }
     }
     if (skippedResponses > MAX_SKIPPED_RESPONSES || skippedBytes > MAX_SKIPPED_BYTES) {
@@ -101,18 +125,38 @@
     }
   }
 
-  private void onContent(HttpContent content) {
+  private void onContent(ChannelHandlerContext context, HttpContent content) {
     ByteBuf bytes = content.content();
     if (bytes.isReadable()) {
       byte[] part = new byte[bytes.readableBytes()];
       bytes.readBytes(part);
       call.onBody(part);
     }
-    if (content instanceof LastHttpContent) {
-      ended = call;
-      call = null;
-      decoder.expectNothing();
+    if (!(content instanceof LastHttpContent)) {
+      return;
     }
+    if (decoder.isClosedByServer() && unwrittenRequests > 0) {
+      // A server that has ended its response goes on reading; a process that has ended resets the
+      // connection under the rest of the request, and its response may be a part.
+      isEndPending = true;
+      context
+          .executor()
+          .schedule(() -> failPendingEnd(context), END_PENDING_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    endCall();
+  }
+
+  private void failPendingEnd(ChannelHandlerContext context) {
+    if (isEndPending) {
+      failAndClose(context, new IOException("response ended, but the request is not being read"));
+    }
+  }
+
+  private void endCall() {
+    ended = call;
+    call = null;
+    decoder.expectNothing();
   }
 
   @Override
@@ -123,7 +167,7 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
-    if (event instanceof ChannelInputShutdownEvent) {
+    if (event instanceof ChannelInputShutdownEvent && !isEndPending) {
       failAndClose(context, new IOException("connection closed before the response ended"));
     }
     context.fireUserEventTriggered(event);
@@ -141,6 +185,7 @@
 
   private void failAndClose(ChannelHandlerContext context, Throwable cause) {
     finishEnded(/* isReusable= */ false);
+    isEndPending = false;
     PendingCall failed = call;
     call = null;
     if (failed != null) {
--- a/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -80,14 +79,20 @@
       listener.onFailure(new IOException("connection closed before the request was sent"), false);
       return;
     }
-    long number =
-        newChannel
-            .pipeline()
-            .get(ClientConnection.class)
-            .begin(this, request.method().equals(HttpMethod.HEAD));
+    ClientConnection connection = newChannel.pipeline().get(ClientConnection.class);
+    long number = connection.begin(this, request.method().equals(HttpMethod.HEAD));
     connectionLabel = ((InetSocketAddress) newChannel.localAddress()).getPort() + "#" + number;
     newChannel.config().setAutoRead(isReading);
-    newChannel.writeAndFlush(request).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
+    newChannel
+        .writeAndFlush(request)
+        .addListener(
+            (ChannelFuture written) -> {
+              if (written.isSuccess()) {
+                connection.onRequestWritten();
+              } else {
+                newChannel.pipeline().fireExceptionCaught(written.cause());
+              }
+            });
   }
 
   String requestId() {
--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -10,6 +10,7 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -31,6 +32,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests connection reuse, and that malformed or endless responses fail within limits. */
@@ -196,6 +198,95 @@
     }
   }
 
+  /**
+   * Guards against parts of responses that look complete because the connection ends while the
+   * request is being sent, after an interim response and on a kept connection too.
+   */
+  @ParameterizedTest
+  @EnumSource(UploadEnd.class)
+  void aResponseThatStopsWhileTheRequestIsSentIsNotComplete(UploadEnd end) throws Exception {
+    String length = "Content-Length: 8\r\n\r\npart";
+    String chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    for (String rest : new String[] {"\r\npart", length, chunked}) {
+      for (String interim : new String[] {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+        for (boolean isKept : new boolean[] {false, true}) {
+          String sent = interim + "HTTP/1.1 200 OK\r\n" + rest;
+          threads.submit(() -> endDuringUpload(sent, isKept, end));
+          if (isKept) {
+            getFromScripted();
+          }
+          BodyListener listener = new BodyListener(bodyReceived::release);
+          post(scriptedServer, listener);
+          String body = listener.result().handle((text, failure) -> text).join();
+          boolean isComplete = end == UploadEnd.READ_ALL && rest.equals("\r\npart");
+          assertWithMessage(isKept + " " + sent).that(body).isEqualTo(isComplete ? "part" : null);
+        }
+      }
+    }
+  }
+
+  /** What a server does when it has sent a part of its response and the request is being sent. */
+  private enum UploadEnd {
+    RESET,
+    /** The unread bytes make the kernel reset the connection. */
+    CLOSE,
+    /** Ends the response in order and takes the rest of the request. */
+    READ_ALL,
+    /** As a process that ends shortly after the end of its response was seen. */
+    RESET_AFTER_END;
+
+    private void apply(Socket socket) throws Exception {
+      if (this == READ_ALL || this == RESET_AFTER_END) {
+        socket.shutdownOutput();
+        Thread.sleep(50);
+      }
+      if (this == READ_ALL) {
+        socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+      }
+      socket.setSoLinger(this == RESET || this == RESET_AFTER_END, 0);
+    }
+  }
+
+  private Void endDuringUpload(String sent, boolean isKept, UploadEnd end) throws Exception {
+    try (Socket socket = scriptedServer.accept()) {
+      if (isKept) {
+        readHead(socket.getInputStream());
+        socket.getOutputStream().write(bytes(EARLIER_RESPONSE));
+      }
+      readHead(socket.getInputStream());
+      socket.getOutputStream().write(bytes(sent));
+      bodyReceived.acquire();
+      end.apply(socket);
+      return null;
+    }
+  }
+
+  /** Guards against calls without an end if the server ends its response but never reads. */
+  @ParameterizedTest
+  @ValueSource(longs = {300, 60_000})
+  void aResponseThatEndsBeforeAnUnreadRequestFails(long timeoutMillis) {
+    CountDownLatch isOver = new CountDownLatch(1);
+    threads.submit(
+        () -> {
+          try (Socket socket = scriptedServer.accept()) {
+            readHead(socket.getInputStream());
+            socket.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\n\r\npart"));
+            socket.shutdownOutput();
+            isOver.await();
+            return null;
+          }
+        });
+    byte[] body = new byte[LARGE_BODY_BYTES];
+    CompletableFuture<HttpReply> reply =
+        connector.exchange(address(scriptedServer), "POST", "/", Map.of(), body, timeoutMillis);
+    CompletionException failed = assertThrows(CompletionException.class, reply::join);
+    boolean isTimeout = timeoutMillis == 300;
+    assertThat(failed)
+        .hasMessageThat()
+        .contains(isTimeout ? "no response within 300 ms" : "the request is not being read");
+    isOver.countDown();
+  }
+
   /** Guards against statuses that are none, after an interim response and on a kept connection. */
   @ParameterizedTest
   @ValueSource(
