Estimate waits in the common queue from slots and mean run times

A line of one request was refused when few starts had been counted, and a class below its guaranteed share was never refused, so that its requests were held until their callers left. Both have tests that failed before.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/ClassShares.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/ClassShares.java
@@ -30,6 +30,7 @@
     private final double guaranteedShare;
     private final SlidingWindowSum arrived = new SlidingWindowSum(WINDOW_MILLIS);
     private final SlidingWindowSum started = new SlidingWindowSum(WINDOW_MILLIS);
+    private int waiting;
 
     private Counts(boolean isLong) {
       guaranteedShare = isLong ? GUARANTEED_LONG_SHARE : GUARANTEED_SHARE;
@@ -40,6 +41,14 @@
     counts(ticket).arrived.add(1, nowNanos);
   }
 
+  void onQueued(Ticket ticket) {
+    counts(ticket).waiting++;
+  }
+
+  void onRemoved(Ticket ticket) {
+    counts(ticket).waiting--;
+  }
+
   void onStarted(Ticket ticket, long nowNanos) {
     counts(ticket).started.add(1, nowNanos);
   }
@@ -49,6 +58,16 @@
     return counts.started.sum(nowNanos) < counts.guaranteedShare * counts.arrived.sum(nowNanos) - 1;
   }
 
+  /**
+   * Returns whether the waiting requests of a class are no more than those that its guaranteed share
+   * lets start, whatever the priority of others.
+   */
+  boolean coversWaiting(Ticket ticket, long nowNanos) {
+    Counts counts = counts(ticket);
+    return counts.started.sum(nowNanos) + counts.waiting
+        <= counts.guaranteedShare * counts.arrived.sum(nowNanos);
+  }
+
   private Counts counts(Ticket ticket) {
     return classes.computeIfAbsent(
         RequestClass.of(ticket), requestClass -> new Counts(requestClass.isLong));
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -87,6 +87,7 @@
   private long refreshedNanos = Long.MIN_VALUE / 2;
   private long changes;
   private int slots;
+  private int usableSlots;
   private long granted;
   private long refused;
 
@@ -147,6 +148,7 @@
     }
     queued.setPosition(position(queued, nowNanos));
     tickets.put(key, queued);
+    shares.onQueued(ticket);
     int index = Collections.binarySearch(ordered, queued, BY_POSITION);
     ordered.add(index < 0 ? -index - 1 : index, queued);
     unjudged.add(queued);
@@ -165,6 +167,7 @@
     if (queued != null) {
       ordered.remove(queued);
       unjudged.remove(queued);
+      shares.onRemoved(queued.ticket());
     }
   }
 
@@ -193,6 +196,9 @@
     if (run.outcome() == AttemptOutcome.FULL) {
       capacities.onFull(processKey, concurrency, nowNanos);
     }
+    if (grant != null && run.outcome() == AttemptOutcome.COMPLETED) {
+      waits.onEnded((nowNanos - grant.grantedNanos) / 1e6);
+    }
     if (grant != null && run.timing().isPresent()) {
       EndedRun.Timing timing = run.timing().get();
       if (run.outcome() == AttemptOutcome.COMPLETED) {
@@ -279,12 +285,14 @@
     }
     ordered.sort(BY_POSITION);
     EndpointState best = null;
+    usableSlots = 0;
     for (EndpointState endpoint : endpoints.values()) {
       endpoint.setEstimate(capacities.estimate(endpoint.endpoint().processKey(), nowNanos));
       boolean isFaster =
           best == null || endpoint.estimate().millisPerToken() < best.estimate().millisPerToken();
-      if (isFaster && isUsable(endpoint, nowNanos)) {
-        best = endpoint;
+      if (isUsable(endpoint, nowNanos)) {
+        usableSlots += endpoint.estimate().limit();
+        best = isFaster ? endpoint : best;
       }
     }
     fastest = Optional.ofNullable(best);
@@ -465,9 +473,9 @@
       }
       boolean isFirstLook = !queued.isAdmitted();
       queued.markAdmitted();
-      if (isFirstLook && !shares.isBelowGuarantee(ticket, nowNanos)) {
+      if (isFirstLook && !shares.coversWaiting(ticket, nowNanos)) {
         int ahead = ordered.indexOf(queued);
-        double waitMillis = waits.expectedMillis(queued.position(), ahead, nowNanos);
+        double waitMillis = waits.expectedMillis(queued.position(), ahead, usableSlots, nowNanos);
         if (waitMillis > usefulMillis) {
           String detail = String.format("%d requests wait, %.0f ms expected", ahead, waitMillis);
           refuse(queued, ErrorKind.SHED, detail, waitMillis, nowNanos);
