--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -21,7 +21,11 @@
   /** Submits tickets to the coordinator of a service's queue and reports ended runs. */
   QUEUE(8),
   /** Tells an instance the decisions of the coordinator of a service's queue. */
-  QUEUE_DECISIONS(9);
+  QUEUE_DECISIONS(9),
+  /** Reports the runs that an instance has counted, for the usage reports. */
+  USAGE(10),
+  /** Reports an instance's demand to the instances that order endpoints. */
+  DEMAND(11);
 
   private final byte code;
 
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -25,6 +25,7 @@
 import org.buckthornferry.concurrency.CapacityModel;
 import org.buckthornferry.concurrency.LimitPolicy;
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.duty.UsageCounter;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
 import org.buckthornferry.fleet.ChangeFeed;
@@ -103,18 +104,35 @@
   private final QueueClients queueClients;
   private final StoreView storeView;
   private final ViewExchange viewExchange;
+  private final DutyServices duties;
   private final HttpServer callerServer;
   private final List<HttpServer> servers = new ArrayList<>();
   private volatile boolean draining;
   private boolean wasReady;
 
+  /**
+   * Creates a node without duties that does not listen yet.
+   *
+   * @param store creates the client of the shared store from a connector
+   */
+  public RelayNode(
+      RelayNodeSettings settings,
+      Function<HttpConnector, SharedStore> store,
+      DeploymentSource source,
+      CallerProtocol callers,
+      EndpointProtocol endpoints) {
+    this(settings, Optional.empty(), store, source, callers, endpoints);
+  }
+
   /**
    * Creates a node that does not listen yet.
    *
+   * @param dutySettings the duties towards the platform, or empty for none
    * @param store creates the client of the shared store from a connector
    */
   public RelayNode(
       RelayNodeSettings settings,
+      Optional<DutySettings> dutySettings,
       Function<HttpConnector, SharedStore> store,
       DeploymentSource source,
       CallerProtocol callers,
@@ -200,6 +218,21 @@
             scheduler,
             MonotonicClock.SYSTEM);
     peers.addHandler(PeerMessageKind.QUEUE_DECISIONS, queueClients::answer);
+    UsageCounter usageCounter = DutyServices.counter(dutySettings);
+    this.duties =
+        new DutyServices(
+            dutySettings,
+            usageCounter,
+            sharedStore,
+            storeView,
+            blackboard,
+            peers,
+            connector,
+            settings.instanceId(),
+            registry,
+            scheduler,
+            viewClock,
+            random);
     this.relay =
         new Relay(
             blackboard,
@@ -208,6 +241,7 @@
             partQuarantine,
             rollouts,
             limits,
+            usageCounter,
             connector,
             callers,
             endpoints,
@@ -267,6 +301,7 @@
           limits.start();
           instances.start();
           viewExchange.start();
+          duties.start();
         });
     List<CompletableFuture<?>> started = new ArrayList<>();
     started.add(peers.start());
@@ -297,6 +332,7 @@
         () -> {
           LOG.infof("instance.stopping inProgress=%d", relay.inProgress());
           relay.stopForwarding();
+          duties.release();
           var unused =
               instances
                   .stop()
@@ -321,6 +357,7 @@
     storeView.stop();
     viewExchange.stop();
     limits.stop();
+    duties.stop();
     peers.stop();
     LOG.infof("instance.stopped inProgress=%d elapsedMillis=%d", relay.inProgress(), elapsedMillis);
     relay.endRequests();
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -22,6 +22,7 @@
 import org.buckthornferry.catalog.Service;
 import org.buckthornferry.control.Blackboard;
 import org.buckthornferry.dispatch.ForwardingPeers;
+import org.buckthornferry.duty.UsageCounter;
 import org.buckthornferry.endpoint.Verdict;
 import org.buckthornferry.error.ErrorKind;
 import org.buckthornferry.error.RequestException;
@@ -37,6 +38,7 @@
 import org.buckthornferry.http.HttpConnector;
 import org.buckthornferry.http.HttpExchange;
 import org.buckthornferry.http.HttpHandler;
+import org.buckthornferry.scaling.DemandCounter;
 import org.buckthornferry.util.Completions;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
@@ -102,6 +104,7 @@
       PartQuarantine partQuarantine,
       RolloutCoordinator rollouts,
       EndpointLimits limits,
+      UsageCounter usage,
       HttpConnector connector,
       CallerProtocol callers,
       EndpointProtocol endpoints,
@@ -120,12 +123,14 @@
             partQuarantine,
             rollouts,
             limits,
+            usage,
             callers,
             endpoints,
             scheduler,
             clock,
             new RelayMetrics(registry),
-            queueClients);
+            queueClients,
+            new DemandCounter(clock));
     this.allowances = allowances;
     this.loadLog = new LoadLog(environment.metrics());
     this.selfId = selfId;
@@ -199,6 +204,11 @@
     return forwardHandler;
   }
 
+  /** Returns the demand at this instance. */
+  public DemandCounter demand() {
+    return environment.demand();
+  }
+
   private int running(Endpoint endpoint) {
     ServiceQueue queue = queues.get(endpoint.serviceName());
     return queue == null ? 0 : queue.running(endpoint);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -2,12 +2,14 @@
 
 import java.util.function.BiFunction;
 import org.buckthornferry.control.Blackboard;
+import org.buckthornferry.duty.UsageCounter;
 import org.buckthornferry.fleet.ContentQuarantine;
 import org.buckthornferry.fleet.EndpointLimits;
 import org.buckthornferry.fleet.PartQuarantine;
 import org.buckthornferry.fleet.RolloutCoordinator;
 import org.buckthornferry.fleetqueue.QueueClient;
 import org.buckthornferry.http.HttpConnector;
+import org.buckthornferry.scaling.DemandCounter;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
 
@@ -19,9 +21,11 @@
     PartQuarantine partQuarantine,
     RolloutCoordinator rollouts,
     EndpointLimits limits,
+    UsageCounter usage,
     CallerProtocol callers,
     EndpointProtocol endpoints,
     Scheduler scheduler,
     MonotonicClock clock,
     RelayMetrics metrics,
-    BiFunction<String, QueueClient.Listener, QueueClient> queueClients) {}
+    BiFunction<String, QueueClient.Listener, QueueClient> queueClients,
+    DemandCounter demand) {}
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -93,6 +93,7 @@
   private boolean headForwarded;
   private boolean mayHaveRun;
   private boolean hasPermit;
+  private boolean isCounted;
   private Optional<Attempt> failedResponse = Optional.empty();
 
   private enum Phase {
@@ -164,6 +165,7 @@
 
   void start() {
     queue.onRequest();
+    environment.demand().onArrival(queue.serviceName(), isCallerRetry());
     exchange.onWritabilityChanged(
         () -> currentAttempt.ifPresent(attempt -> attempt.call.setReading(exchange.isWritable())));
     deadlineTask = environment.scheduler().schedule(this::onDeadline, remainingMillis());
@@ -229,6 +231,14 @@
         });
   }
 
+  /** Counts the request for the usage report, once. */
+  private void countRun(long beganNanos) {
+    if (!isCounted) {
+      isCounted = true;
+      customer.ifPresent(payer -> environment.usage().onRunBegan(payer.name(), beganNanos));
+    }
+  }
+
   /** Gives the permit of the current attempt back, if it has one. */
   private void returnPermit(Placement placement, boolean wasRejected) {
     if (hasPermit) {
@@ -420,6 +430,7 @@
     phase = headForwarded ? Phase.ANSWERING : Phase.SENT;
     attempts++;
     queue.onSent(placement);
+    environment.demand().onSent(queue.serviceName());
     environment.metrics().sent.inc();
     environment.metrics().waitedMillis.update(elapsedMillis());
     LOG.infof(
@@ -525,6 +536,7 @@
       return;
     }
     environment.metrics().failed(failure.kind()).inc();
+    environment.demand().onFailed(queue.serviceName(), failure.kind());
     LOG.infof(
         "request.failed id=%s kind=%s detail=\"%s\" attempts=%d answered=%s retryAfterMillis=%d"
             + " elapsedMillis=%d",
@@ -573,6 +585,7 @@
     phase = Phase.ENDED;
     deadlineTask.cancel();
     queue.remove(waiting);
+    environment.demand().onEnded(queue.serviceName());
     onEnded.accept(this, attempts > 0);
   }
 
@@ -635,6 +648,7 @@
     private final Placement placement;
     private final long sentNanos = environment.clock().nanoTime();
     private final EventSplitter splitter = new EventSplitter();
+    private final boolean isContinuation = headForwarded || lastEventId.isPresent();
     private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream(256);
     private HttpCall call = HttpCall.NONE;
     private ResponseHead head;
@@ -735,6 +749,7 @@
       returnPermit(
           placement, outcome == AttemptOutcome.FULL || outcome == AttemptOutcome.FULL_AND_CLOSING);
       queue.onAttemptEnded(placement, false, outcome, timing(outcome));
+      environment.demand().onAttemptEnded(queue.serviceName(), sentNanos, outcome);
       reportToCanaryTrial(outcome);
     }
 
@@ -895,6 +910,9 @@
       firstEventNanos = environment.clock().nanoTime();
       double millis = (firstEventNanos - sentNanos) / 1e6;
       queue.onFirstEvent(placement, millis);
+      if (!isContinuation) {
+        countRun(firstEventNanos);
+      }
       environment.metrics().firstEventMillis.update(elapsedMillis());
     }
 
@@ -931,6 +949,7 @@
       ResponseKind responseKind = ResponseKind.of(head);
       close(responseKind.outcome());
       if (responseKind == ResponseKind.SERVED) {
+        countRun(headNanos);
         reportContentServed();
       }
       if (phase == Phase.ENDED) {
--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -10,6 +10,7 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -31,6 +32,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests connection reuse, and that malformed or endless responses fail within limits. */
@@ -196,6 +198,146 @@
     }
   }
 
+  /**
+   * Guards against parts of responses that look complete because the connection ends while the
+   * request is being sent, after an interim response and on a kept connection too.
+   */
+  @ParameterizedTest
+  @EnumSource(UploadEnd.class)
+  void aResponseThatStopsWhileTheRequestIsSentIsNotComplete(UploadEnd end) throws Exception {
+    String length = "Content-Length: 8\r\n\r\npart";
+    String chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    for (String rest : new String[] {"\r\npart", length, chunked}) {
+      for (String interim : new String[] {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+        for (boolean isKept : new boolean[] {false, true}) {
+          String sent = interim + "HTTP/1.1 200 OK\r\n" + rest;
+          threads.submit(() -> endDuringUpload(sent, isKept, end));
+          if (isKept) {
+            getFromScripted();
+          }
+          BodyListener listener = new BodyListener(bodyReceived::release);
+          post(scriptedServer, listener);
+          String body = listener.result().handle((text, failure) -> text).join();
+          boolean isComplete = end == UploadEnd.READ_ALL && rest.equals("\r\npart");
+          assertWithMessage(isKept + " " + sent).that(body).isEqualTo(isComplete ? "part" : null);
+        }
+      }
+    }
+  }
+
+  /** What a server does when it has sent a part of its response and the request is being sent. */
+  private enum UploadEnd {
+    RESET,
+    /** The unread bytes make the kernel reset the connection. */
+    CLOSE,
+    /** Ends the response in order and takes the rest of the request. */
+    READ_ALL,
+    /** As a process that ends shortly after the end of its response was seen. */
+    RESET_AFTER_END;
+
+    private void apply(Socket socket) throws Exception {
+      if (this == READ_ALL || this == RESET_AFTER_END) {
+        socket.shutdownOutput();
+        Thread.sleep(50);
+      }
+      if (this == READ_ALL) {
+        socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+      }
+      socket.setSoLinger(this == RESET || this == RESET_AFTER_END, 0);
+    }
+  }
+
+  private Void endDuringUpload(String sent, boolean isKept, UploadEnd end) throws Exception {
+    try (Socket socket = scriptedServer.accept()) {
+      if (isKept) {
+        readHead(socket.getInputStream());
+        socket.getOutputStream().write(bytes(EARLIER_RESPONSE));
+      }
+      readHead(socket.getInputStream());
+      socket.getOutputStream().write(bytes(sent));
+      bodyReceived.acquire();
+      end.apply(socket);
+      return null;
+    }
+  }
+
+  /** Guards against calls without an end if the server ends its response but never reads. */
+  @ParameterizedTest
+  @ValueSource(longs = {300, 60_000})
+  void aResponseThatEndsBeforeAnUnreadRequestFails(long timeoutMillis) {
+    CountDownLatch isOver = new CountDownLatch(1);
+    threads.submit(
+        () -> {
+          try (Socket socket = scriptedServer.accept()) {
+            readHead(socket.getInputStream());
+            socket.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\n\r\npart"));
+            socket.shutdownOutput();
+            isOver.await();
+            return null;
+          }
+        });
+    byte[] body = new byte[LARGE_BODY_BYTES];
+    CompletableFuture<HttpReply> reply =
+        connector.exchange(address(scriptedServer), "POST", "/", Map.of(), body, timeoutMillis);
+    CompletionException failed = assertThrows(CompletionException.class, reply::join);
+    boolean isTimeout = timeoutMillis == 300;
+    assertThat(failed)
+        .hasMessageThat()
+        .contains(isTimeout ? "no response within 300 ms" : "the request is not being read");
+    isOver.countDown();
+  }
+
+  /** Guards against statuses that are none, after an interim response and on a kept connection. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 None",
+        "HTTP/1.1 099 Low",
+        "HTTP/1.1 1000 High",
+        "HTTP/1.1 600 High",
+        "HTTP/1.1 999 High",
+        "HTTP/1.1 +200 Sign",
+        "HTTP/1.1 -200 Sign",
+        "HTTP/1.1 0200 Long",
+        "HTTP/1.1 20 Short",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 101 Other\r\nConnection: upgrade\r\nUpgrade: other",
+        "HTTP/1.1  None",
+        "HTTP/1.1 ",
+        "HTTP/1.1",
+        "HTTP/2.0 200 OK",
+        "RTSP/1.0 200 OK",
+        "200 OK",
+        "no status line"
+      })
+  void aResponseWithoutAValidStatusFails(String statusLine) {
+    for (String interim : new String[] {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      for (String rest : new String[] {"Content-Length: 2\r\n\r\nok", "\r\nok"}) {
+        for (Reuse reuse : new Reuse[] {Reuse.NONE, Reuse.ANY}) {
+          response = OWN_RESPONSE;
+          get(Reuse.ANY);
+          response = interim + statusLine + "\r\n" + rest;
+          String outcome =
+              exchange(reuse)
+                  .handle((reply, failure) -> failure == null ? "" + reply.status() : "" + failure)
+                  .join();
+          assertWithMessage(reuse + " " + response).that(outcome).contains("malformed response");
+        }
+      }
+    }
+  }
+
+  /** Guards against statuses that are rejected although they are valid. */
+  @ParameterizedTest
+  @ValueSource(strings = {"200", "226", "299", "302", "404", "451", "499", "500", "599"})
+  void aResponseWithAValidStatusAfterAnInterimOneIsComplete(String status) {
+    for (String interim : new String[] {"", "100 Continue", "102", "103 Early", "199 Any"}) {
+      String first = interim.isEmpty() ? "" : "HTTP/1.1 " + interim + "\r\n\r\n";
+      response = first + "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok";
+      assertThat(get(Reuse.ANY).status()).isEqualTo(Integer.parseInt(status));
+    }
+  }
+
   /** Guards against skipped responses whose broken end completes the request. */
   @Test
   void aSkippedResponseWithoutALengthDoesNotCompleteTheRequest() {
@@ -457,6 +599,11 @@
         .join();
   }
 
+  private CompletableFuture<HttpReply> exchange(Reuse reuse) {
+    return connector.exchange(
+        address(server), "GET", "/", Map.of(), new byte[0], reuse, fields -> true, 64 << 10, 2_000);
+  }
+
   private HttpFailure failure() {
     CompletionException failed = assertThrows(CompletionException.class, () -> get(Reuse.NONE));
     return (HttpFailure) failed.getCause();
