--- a/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
@@ -267,9 +267,14 @@
 
   /** Schedules a try to become the holder, if the subject has none. */
   private void consider() {
+    if (phase != Phase.CANDIDATE) {
+      return;
+    }
     if (isOccupied()) {
       mayTakeOverAtOnce = false;
       cancelStep();
+      // The view does not report the end of a key that a restored store had brought back.
+      nextStep = scheduler.schedule(this::consider, terms.ttlMillis());
       return;
     }
     if (isStepScheduled || !mayAcquire()) {
