Run the autoscaling duty in the instance

Where the settings name the duty autoscale, DutyServices runs the ScalingController with the same platform client as the usage reports, since the platform limits the rate of both together.

--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -50,6 +50,7 @@
 import org.buckthornferry.relay.CallerProtocol;
 import org.buckthornferry.relay.EndpointProtocol;
 import org.buckthornferry.relay.Relay;
+import org.buckthornferry.scaling.DemandCounter;
 import org.buckthornferry.store.SharedStore;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
@@ -191,16 +192,19 @@
             blackboard, peers, settings.instanceId(), scheduler, viewClock, registry);
     peers.addHandler(PeerMessageKind.LIMIT, limits::answer);
     UsageCounter usageCounter = DutyServices.counter(dutySettings);
+    DemandCounter demandCounter = new DemandCounter(MonotonicClock.SYSTEM);
     this.duties =
         new DutyServices(
             dutySettings,
             usageCounter,
+            demandCounter,
             sharedStore,
             storeView,
             blackboard,
             peers,
             connector,
             settings.instanceId(),
+            settings.failureDomain(),
             registry,
             scheduler,
             viewClock,
@@ -214,6 +218,7 @@
             rollouts,
             limits,
             usageCounter,
+            demandCounter,
             connector,
             callers,
             endpoints,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -103,6 +103,7 @@
       RolloutCoordinator rollouts,
       EndpointLimits limits,
       UsageCounter usage,
+      DemandCounter demand,
       HttpConnector connector,
       CallerProtocol callers,
       EndpointProtocol endpoints,
@@ -121,12 +122,12 @@
             rollouts,
             limits,
             usage,
+            demand,
             callers,
             endpoints,
             scheduler,
             clock,
-            new RelayMetrics(registry),
-            new DemandCounter(clock));
+            new RelayMetrics(registry));
     this.allowances = allowances;
     this.loadLog = new LoadLog(environment.metrics());
     this.selfId = selfId;
@@ -200,11 +201,6 @@
     return forwardHandler;
   }
 
-  /** Returns the demand at this instance. */
-  public DemandCounter demand() {
-    return environment.demand();
-  }
-
   private int running(Endpoint endpoint) {
     ServiceQueue queue = queues.get(endpoint.serviceName());
     return queue == null ? 0 : queue.running(endpoint);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -20,9 +20,9 @@
     RolloutCoordinator rollouts,
     EndpointLimits limits,
     UsageCounter usage,
+    DemandCounter demand,
     CallerProtocol callers,
     EndpointProtocol endpoints,
     Scheduler scheduler,
     MonotonicClock clock,
-    RelayMetrics metrics,
-    DemandCounter demand) {}
+    RelayMetrics metrics) {}
