--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -55,6 +55,7 @@
 import org.buckthornferry.relay.CallerProtocol;
 import org.buckthornferry.relay.EndpointProtocol;
 import org.buckthornferry.relay.Relay;
+import org.buckthornferry.scaling.DemandCounter;
 import org.buckthornferry.store.SharedStore;
 import org.buckthornferry.util.MonotonicClock;
 import org.buckthornferry.util.Scheduler;
@@ -219,16 +220,19 @@
             MonotonicClock.SYSTEM);
     peers.addHandler(PeerMessageKind.QUEUE_DECISIONS, queueClients::answer);
     UsageCounter usageCounter = DutyServices.counter(dutySettings);
+    DemandCounter demandCounter = new DemandCounter(MonotonicClock.SYSTEM);
     this.duties =
         new DutyServices(
             dutySettings,
             usageCounter,
+            demandCounter,
             sharedStore,
             storeView,
             blackboard,
             peers,
             connector,
             settings.instanceId(),
+            settings.failureDomain(),
             registry,
             scheduler,
             viewClock,
@@ -242,6 +246,7 @@
             rollouts,
             limits,
             usageCounter,
+            demandCounter,
             connector,
             callers,
             endpoints,
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/Relay.java
@@ -105,6 +105,7 @@
       RolloutCoordinator rollouts,
       EndpointLimits limits,
       UsageCounter usage,
+      DemandCounter demand,
       HttpConnector connector,
       CallerProtocol callers,
       EndpointProtocol endpoints,
@@ -124,13 +125,13 @@
             rollouts,
             limits,
             usage,
+            demand,
             callers,
             endpoints,
             scheduler,
             clock,
             new RelayMetrics(registry),
-            queueClients,
-            new DemandCounter(clock));
+            queueClients);
     this.allowances = allowances;
     this.loadLog = new LoadLog(environment.metrics());
     this.selfId = selfId;
@@ -204,11 +205,6 @@
     return forwardHandler;
   }
 
-  /** Returns the demand at this instance. */
-  public DemandCounter demand() {
-    return environment.demand();
-  }
-
   private int running(Endpoint endpoint) {
     ServiceQueue queue = queues.get(endpoint.serviceName());
     return queue == null ? 0 : queue.running(endpoint);
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayEnvironment.java
@@ -22,10 +22,10 @@
     RolloutCoordinator rollouts,
     EndpointLimits limits,
     UsageCounter usage,
+    DemandCounter demand,
     CallerProtocol callers,
     EndpointProtocol endpoints,
     Scheduler scheduler,
     MonotonicClock clock,
     RelayMetrics metrics,
-    BiFunction<String, QueueClient.Listener, QueueClient> queueClients,
-    DemandCounter demand) {}
+    BiFunction<String, QueueClient.Listener, QueueClient> queueClients) {}
