--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueClient.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueClient.java
@@ -258,7 +258,7 @@
   }
 
   private void send() {
-    long nowNanos = clock.nanoTime();
+    sentNanos = clock.nanoTime();
     boolean isComplete = isCompleteDue;
     if (isComplete) {
       told.clear();
@@ -268,7 +268,6 @@
     isCompleteDue = false;
     isCallDue = false;
     isInFlight = true;
-    sentNanos = nowNanos;
     QueueMessages.Request request =
         new QueueMessages.Request(
             calls.selfId(),
@@ -278,7 +277,7 @@
             takeTickets(),
             take(withdrawn),
             take(ended),
-            takeStatement(isComplete, nowNanos));
+            takeStatement(isComplete));
     Completions.onComplete(
         calls.call(coordinatorId, request),
         (reply, failure) -> {
@@ -295,15 +294,15 @@
   }
 
   /** Returns the number of running requests by endpoint if it is to be stated. */
-  private Optional<Map<String, Integer>> takeStatement(boolean isComplete, long nowNanos) {
+  private Optional<Map<String, Integer>> takeStatement(boolean isComplete) {
     boolean isDue =
         isComplete
-            || nowNanos - statedNanos >= TimeUnit.MILLISECONDS.toNanos(STATEMENT_INTERVAL_MILLIS);
+            || sentNanos - statedNanos >= TimeUnit.MILLISECONDS.toNanos(STATEMENT_INTERVAL_MILLIS);
     if (!isDue) {
       return Optional.empty();
     }
     Map<String, Integer> running = listener.running();
-    statedNanos = nowNanos;
+    statedNanos = sentNanos;
     hasStatedRuns = !running.isEmpty();
     return Optional.of(running);
   }
--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/InstanceRegistryTest.java
@@ -46,6 +46,8 @@
     time.advance(5_000);
     assertThat(blackboard.read(FleetView.ENTRY).listed().keySet()).containsExactly("i1");
     assertThat(blackboard.read(FleetView.ENTRY).lapsed().keySet()).containsExactly("i2");
+    assertThat(blackboard.read(FleetView.ENTRY).processorShares())
+        .containsExactly("i1", 0.36, "i2", 0.36);
     time.advance(10_000);
     assertThat(blackboard.read(FleetView.ENTRY).lapsed()).isEmpty();
   }
