--- a/buckthornferry/src/test/java/org/buckthornferry/fleetqueue/QueueClientTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleetqueue/QueueClientTest.java
@@ -10,10 +10,13 @@
 import org.buckthornferry.fleetqueue.QueueFleet.Instance;
 import org.buckthornferry.fleetqueue.QueueFleet.Request;
 import org.buckthornferry.fleetqueue.QueueFleet.State;
+import org.buckthornferry.testing.QuietFleetLog;
 import org.buckthornferry.testing.VirtualInstances;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 
 /** Guards against lost tickets and slots that stay occupied when a part of the fleet fails. */
+@ExtendWith(QuietFleetLog.class)
 final class QueueClientTest {
   private final QueueFleet fleet = new QueueFleet(5);
   private final Instance first = fleet.inOrder(0);
