--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
@@ -121,10 +121,6 @@
     running += Math.max(0, count) - (before == null ? 0 : before);
   }
 
-  int running(String instanceId) {
-    return runningByInstance.getOrDefault(instanceId, 0);
-  }
-
   void removeInstance(String instanceId) {
     setRunning(instanceId, 0);
     lastEndNanosByInstance.remove(instanceId);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -141,11 +141,11 @@
   public void submit(String instanceId, String failureDomain, Ticket ticket, long nowNanos) {
     TicketKey key = new TicketKey(instanceId, ticket.number());
     remove(key);
-    QueuedTicket queued = new QueuedTicket(key, failureDomain, ticket, nowNanos);
     boolean isNew = counted.put(key, true) == null;
     if (isNew) {
       shares.onArrival(ticket, nowNanos);
     }
+    QueuedTicket queued = new QueuedTicket(key, failureDomain, ticket, nowNanos);
     queued.setPosition(position(queued, nowNanos));
     tickets.put(key, queued);
     shares.onQueued(ticket);
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -198,12 +198,13 @@
         new EndpointLimits(
             blackboard, peers, settings.instanceId(), scheduler, viewClock, registry);
     peers.addHandler(PeerMessageKind.LIMIT, limits::answer);
+    long incarnation = random.nextLong();
     this.queueCoordinator =
         new QueueCoordinator(
             blackboard,
             peers,
             settings.instanceId(),
-            random.nextLong(),
+            incarnation,
             this::fleetQueue,
             scheduler,
             MonotonicClock.SYSTEM,
@@ -214,7 +215,7 @@
             blackboard,
             peers,
             settings.instanceId(),
-            random.nextLong(),
+            incarnation,
             queueCoordinator,
             scheduler,
             MonotonicClock.SYSTEM);
@@ -363,6 +364,7 @@
     viewExchange.stop();
     limits.stop();
     duties.stop();
+    queueCoordinator.stop();
     peers.stop();
     LOG.infof("instance.stopped inProgress=%d elapsedMillis=%d", relay.inProgress(), elapsedMillis);
     relay.endRequests();
