--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -185,7 +185,7 @@
             MonotonicClock.SYSTEM,
             System::currentTimeMillis);
     peers.addHandler(PeerMessageKind.MOVE, rollouts::answer);
-    SharedAllowances allowances =
+    final SharedAllowances allowances =
         new SharedAllowances(blackboard, peers, settings.instanceId(), MonotonicClock.SYSTEM);
     this.limits =
         new EndpointLimits(
