--- a/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
@@ -52,6 +52,12 @@
   /** Time after which a renewal without a reply is repeated, in milliseconds. */
   private static final long RENEWAL_REPLY_MILLIS = 500;
 
+  /**
+   * Renewals without a reply after which a holder gives up: if only the replies are lost, it would
+   * otherwise keep the lease without being able to act.
+   */
+  private static final int MAX_UNCONFIRMED_RENEWALS = 3;
+
   private final DutySubject subject;
   private final Listener listener;
   private final SharedStore store;
@@ -101,6 +107,8 @@
     private final StorePosition since;
     private final long token;
     private long renewalSentNanos;
+    private int unconfirmedRenewals;
+    private boolean hasEnded;
 
     private Tenure(Lease lease, StorePosition since, long token, long renewalSentNanos) {
       this.lease = lease;
@@ -177,7 +185,9 @@
     }
     LOG.infof("duty.released subject=%s token=%d", subject, last.get().token);
     listener.onLost(last.get().token);
-    return release(last.get());
+    return isWithinAuthority(last.get().renewalSentNanos, clock.nanoTime())
+        ? release(last.get())
+        : CompletableFuture.completedFuture(null);
   }
 
   boolean isStopped() {
@@ -192,6 +202,7 @@
   @Override
   public Optional<Long> fencingToken() {
     return tenure
+        .filter(held -> !held.hasEnded)
         .filter(held -> isWithinAuthority(held.renewalSentNanos, clock.nanoTime()))
         .map(held -> held.token);
   }
@@ -207,9 +218,8 @@
     if (!reply.endsToken() || !isOfTenure) {
       return;
     }
-    Tenure last = tenure.get();
+    // The lease is left to expire: see release.
     lose("the platform has seen a higher token");
-    var unused = release(last);
   }
 
   /** Called when the items of any subject may have changed in the view. */
@@ -438,30 +448,57 @@
 
   /** Renews the lease; repeats that until there is a reply, also when this instance may not act. */
   private void renew(Tenure held) {
-    if (!isCurrent(held)) {
+    if (!isCurrent(held) || held.hasEnded) {
+      return;
+    }
+    if (held.unconfirmedRenewals >= MAX_UNCONFIRMED_RENEWALS) {
+      lose("renewals have no replies");
       return;
     }
+    held.unconfirmedRenewals++;
     long sentNanos = clock.nanoTime();
     scheduleStep(() -> renew(held), RENEWAL_REPLY_MILLIS);
     Completions.onComplete(
         store.renewLease(held.lease),
         (done, failure) -> {
-          if (!isCurrent(held)) {
+          if (!isCurrent(held) || held.hasEnded) {
             return;
           }
           if (failure == null) {
             boolean isLatest = sentNanos - held.renewalSentNanos > 0;
             held.renewalSentNanos = isLatest ? sentNanos : held.renewalSentNanos;
+            held.unconfirmedRenewals = 0;
             scheduleRenewal(held);
-          } else if (StoreException.kindOf(failure) == Kind.LEASE_EXPIRED) {
-            lose("the lease has ended");
-          } else {
-            LOG.infof("duty.not_renewed subject=%s reason=\"%s\"", subject, failure.getMessage());
-            scheduleStep(() -> renew(held), jittered(RETRY_MILLIS));
+            return;
+          }
+          Kind kind = StoreException.kindOf(failure);
+          if (kind == Kind.LEASE_EXPIRED) {
+            onLeaseEnded(held);
+            return;
           }
+          LOG.infof("duty.not_renewed subject=%s reason=\"%s\"", subject, failure.getMessage());
+          held.unconfirmedRenewals -= kind == Kind.OUTCOME_UNKNOWN ? 0 : 1;
+          scheduleStep(() -> renew(held), jittered(RETRY_MILLIS));
         });
   }
 
+  /**
+   * Stops acting. A lease ends early only when the store was restored, which the view is about to
+   * show; this instance may then take over at once.
+   */
+  private void onLeaseEnded(Tenure held) {
+    held.hasEnded = true;
+    long untilNanos =
+        held.renewalSentNanos + TimeUnit.MILLISECONDS.toNanos(terms.authorityMillis());
+    scheduleStep(
+        () -> {
+          if (isCurrent(held)) {
+            lose("the lease has ended");
+          }
+        },
+        millisUntil(untilNanos));
+  }
+
   private boolean isCurrent(Tenure held) {
     return tenure.filter(current -> current == held).isPresent();
   }
@@ -487,8 +524,7 @@
     phase = Phase.CANDIDATE;
     cancelStep();
     long nowNanos = clock.nanoTime();
-    // A lease ends early only when the store was restored. This instance is then the only one that
-    // may have acted, so that it takes over again without a wait.
+    // After a restore, this instance is the only one that may have acted.
     mayTakeOverAtOnce =
         view.position().era() > last.since.era()
             && isWithinAuthority(last.renewalSentNanos, nowNanos);
@@ -497,6 +533,11 @@
     consider();
   }
 
+  /**
+   * Removes the key, so that a successor need not wait for the end of the lease. Only while this
+   * instance may act: later the store may have been restored, and the same revision of the key may
+   * belong to another holder.
+   */
   private CompletableFuture<Void> release(Tenure last) {
     return store
         .apply(StoreTransaction.removal(key).onlyIf(key, last.since.revision()))
