--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageCollector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageCollector.java
@@ -30,6 +30,7 @@
    */
   static final long PERIOD_MILLIS = 1_000;
 
+  private final long process;
   private final long windowMillis;
   private final long retentionMillis;
   private final Map<Long, Sender> senders = new HashMap<>();
@@ -63,9 +64,11 @@
   /**
    * Creates a collector without counts.
    *
+   * @param process random number of this process
    * @param retentionMillis how long the counts of a window are kept
    */
-  UsageCollector(long windowMillis, long retentionMillis) {
+  UsageCollector(long process, long windowMillis, long retentionMillis) {
+    this.process = process;
     this.windowMillis = windowMillis;
     this.retentionMillis = retentionMillis;
   }
@@ -84,7 +87,9 @@
     if (sender.clockReadings.size() > READINGS) {
       sender.clockReadings.removeFirst();
     }
-    if (message.span().isKnown()) {
+    // Counts that another process has acknowledged are not known here; the next message has them.
+    boolean isUsable = message.basis() == 0 || message.basis() == process;
+    if (message.span().isKnown() && isUsable) {
       sender.span = message.span();
       sender.counts.putAll(message.counts());
       long oldest = Math.floorDiv(message.span().toMillis() - retentionMillis, windowMillis);
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageMessage.java
@@ -15,6 +15,7 @@
  *
  * @param process random number of the sender's process
  * @param sequence rises with each message of a process
+ * @param basis process of the receiver whose replies the counts leave out; 0 if they are complete
  * @param wallClockMillis the sender's wall clock when it sent the message
  * @param span the time over which the counts are complete; empty while the sender does not know the
  *     true time, and then there are no counts
@@ -25,13 +26,14 @@
     String senderId,
     long process,
     long sequence,
+    long basis,
     long wallClockMillis,
     Span span,
     Map<Long, Map<String, Long>> counts) {
   private static final int FORMAT = 1;
 
   /** Maximum numbers of windows and of customers of a window in a message. */
-  private static final int MAX_WINDOWS = 16;
+  private static final int MAX_WINDOWS = 64;
 
   private static final int MAX_CUSTOMERS = 2_000;
 
@@ -84,6 +86,7 @@
               .packString(senderId)
               .packLong(process)
               .packLong(sequence)
+              .packLong(basis)
               .packLong(wallClockMillis)
               .packLong(span.fromMillis)
               .packLong(span.toMillis)
@@ -101,6 +104,7 @@
       String senderId = MessageCodec.readText(unpacker);
       final long process = unpacker.unpackLong();
       final long sequence = unpacker.unpackLong();
+      final long basis = unpacker.unpackLong();
       final long wallClockMillis = unpacker.unpackLong();
       final Span span = new Span(unpacker.unpackLong(), unpacker.unpackLong());
       Map<Long, Map<String, Long>> counts = new TreeMap<>();
@@ -108,7 +112,7 @@
       for (int i = 0; i < windows; i++) {
         counts.put(unpacker.unpackLong(), readCounts(unpacker));
       }
-      return new UsageMessage(senderId, process, sequence, wallClockMillis, span, counts);
+      return new UsageMessage(senderId, process, sequence, basis, wallClockMillis, span, counts);
     }
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
@@ -127,7 +127,8 @@
             retentionMillis(bounds),
             clock,
             wallClockMillis);
-    this.collector = new UsageCollector(bounds.reportWindowMillis(), retentionMillis(bounds));
+    this.collector =
+        new UsageCollector(process, bounds.reportWindowMillis(), retentionMillis(bounds));
     this.platform = platform;
     this.store = store;
     this.view = view;
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageSender.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageSender.java
@@ -40,6 +40,7 @@
   private final LongSupplier wallClockMillis;
   private final TrueClock trueClock = new TrueClock();
   private final Map<Long, Map<String, Long>> acknowledged = new HashMap<>();
+  private String receiverId = "";
   private long acknowledgedBy;
   private long sequence;
   private boolean isSending;
@@ -84,10 +85,10 @@
 
   /** Returns a message with all windows that are kept. */
   UsageMessage message() {
-    return message(windows());
+    return message(0, windows());
   }
 
-  private UsageMessage message(Map<Long, Map<String, Long>> counts) {
+  private UsageMessage message(long basis, Map<Long, Map<String, Long>> counts) {
     long nowNanos = clock.nanoTime();
     long keptSinceNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(retentionMillis);
     long sinceNanos =
@@ -100,7 +101,8 @@
                 trueClock.millisAt(sinceNanos).getAsLong(),
                 trueClock.millisAt(nowNanos).getAsLong())
             : UsageMessage.Span.NONE;
-    return new UsageMessage(selfId, process, ++sequence, wallClockMillis.getAsLong(), span, counts);
+    return new UsageMessage(
+        selfId, process, ++sequence, basis, wallClockMillis.getAsLong(), span, counts);
   }
 
   /** Returns the counts of the windows of which the counter has dropped nothing. */
@@ -122,7 +124,12 @@
       return;
     }
     isSending = true;
-    UsageMessage message = message(changed(windows()));
+    if (!instanceId.equals(receiverId)) {
+      receiverId = instanceId;
+      acknowledged.clear();
+      acknowledgedBy = 0;
+    }
+    UsageMessage message = message(acknowledgedBy, changed(windows()));
     long sentNanos = clock.nanoTime();
     Completions.onComplete(
         peers.call(address.get(), PeerMessageKind.USAGE, message.encode(), TIMEOUT_MILLIS),
@@ -158,16 +165,13 @@
   private void onReply(UsageMessage message, long sentNanos, byte[] encoded) {
     try {
       UsageMessage.Reply reply = UsageMessage.Reply.decode(encoded);
-      if (reply.process() != acknowledgedBy) {
-        // This message held too little, unless nothing had been acknowledged before.
-        boolean isComplete = acknowledged.isEmpty();
+      if (message.basis() != 0 && message.basis() != reply.process()) {
+        // Another process, which needs all counts.
         acknowledged.clear();
-        acknowledgedBy = reply.process();
-        if (isComplete) {
-          acknowledged.putAll(message.counts());
-        }
+        acknowledgedBy = 0;
       } else {
         acknowledged.putAll(message.counts());
+        acknowledgedBy = reply.process();
       }
       long oldest =
           message.span().isKnown()
--- a/buckthornferry/src/test/java/org/buckthornferry/duty/DutyWorld.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/duty/DutyWorld.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.buckthornferry.control.Blackboard;
@@ -109,7 +110,7 @@
     members.put(id, member);
     Map<String, InetSocketAddress> listed = new HashMap<>();
     members.forEach((other, known) -> listed.put(other, known.address));
-    members.forEach((other, known) -> known.fleet(listed));
+    members.forEach((other, known) -> known.fleet.accept(new FleetView(listed, Map.of(), Map.of())));
     member.view.start();
     member.holder.start();
     member.act();
@@ -152,15 +153,12 @@
     long wallOffsetMillis;
     private final InetSocketAddress address;
     private final Blackboard blackboard = new Blackboard();
-    private final Runnable[] writer = new Runnable[1];
+    private final Consumer<FleetView> fleet = blackboard.writerOf(FleetView.ENTRY);
     private final int process = ++processes;
-    private Map<String, InetSocketAddress> listed = Map.of();
 
     private Member(String id) {
       address = InetSocketAddress.createUnresolved(id, 1);
       node = network.start(address);
-      var fleetWriter = blackboard.writerOf(FleetView.ENTRY);
-      writer[0] = () -> fleetWriter.accept(new FleetView(listed, Map.of(), Map.of()));
       SuspensionCountingClock clock =
           new SuspensionCountingClock(
               isMachineSuspended ? node : time, () -> node.timeOfDayMillis() + wallOffsetMillis);
@@ -179,11 +177,6 @@
               .create(SUBJECT, this);
     }
 
-    private void fleet(Map<String, InetSocketAddress> instances) {
-      listed = instances;
-      writer[0].run();
-    }
-
     private void act() {
       holder.fencingToken().ifPresent(this::send);
       node.schedule(this::act, ACT_MILLIS / 2 + random.nextLong(ACT_MILLIS));
