--- a/buckthornferry/src/main/java/org/buckthornferry/concurrency/CapacityModel.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/concurrency/CapacityModel.java
@@ -34,12 +34,12 @@
   private final LimitPolicy policy;
   private final Map<String, EndpointCapacity> endpoints = new HashMap<>();
   private final InstanceBias instances = new InstanceBias();
+  private final SpeedClasses classes = new SpeedClasses();
   private final ServiceLoad load = new ServiceLoad();
   private double sumMillisPerToken;
   private int tokenEndpoints;
   private double sumMillisPerEvent;
   private int eventEndpoints;
-  private long sumOfLimits;
   private long version;
   private long latestNanos;
 
@@ -54,18 +54,16 @@
     slotsById.forEach(
         (id, slots) ->
             endpoints
-                .computeIfAbsent(id, key -> new EndpointCapacity(slots, latestNanos))
+                .computeIfAbsent(id, key -> new EndpointCapacity(classes, slots, latestNanos))
                 .setSlots(slots));
     sumMillisPerToken = 0;
     tokenEndpoints = 0;
     sumMillisPerEvent = 0;
     eventEndpoints = 0;
-    sumOfLimits = 0;
     endpoints.values().forEach(endpoint -> count(endpoint, 1));
   }
 
   private void count(EndpointCapacity endpoint, int sign) {
-    sumOfLimits += sign * (long) endpoint.limit();
     if (endpoint.hasToken()) {
       sumMillisPerToken += sign * endpoint.millisPerToken();
       tokenEndpoints += sign;
@@ -79,12 +77,13 @@
   /** Adds the times of an answer. */
   public void observe(String endpointId, Observation observation, long nowNanos) {
     EndpointCapacity endpoint = endpoints.get(endpointId);
-    if (endpoint == null) {
+    double tokens = observation.uncachedPromptTokens() + FIXED_COST_TOKENS;
+    double durationMillis = observation.firstEventMillis() + observation.streamMillis();
+    boolean isUsable = Double.isFinite(durationMillis) && durationMillis >= 0 && tokens > 0;
+    if (endpoint == null || !isUsable) {
       return;
     }
     latestNanos = nowNanos;
-    double tokens = observation.uncachedPromptTokens() + FIXED_COST_TOKENS;
-    double durationMillis = observation.firstEventMillis() + observation.streamMillis();
     double expectedMillis =
         endpoint.expectedMillis(observation.concurrency(), tokens, observation.events());
     if (expectedMillis > 0 && durationMillis > 0) {
@@ -94,16 +93,19 @@
     boolean isBiased = factor > MIN_BIAS;
     count(endpoint, -1);
     endpoint.observe(observation, isBiased ? factor : 1, !isBiased, nowNanos);
-    load.add(tokens, observation.events(), durationMillis, nowNanos);
-    endpoint.updateLimit(
-        load.meanTokens(),
-        load.meanEvents(),
-        load.spareShare(sumOfLimits + endpoint.limit()),
-        nowNanos);
+    load.add(tokens, observation.events());
+    endpoint.updateLimit(load, nowNanos);
     count(endpoint, 1);
     if (endpoint.isWorthExport()) {
       endpoint.setVersion(++version);
     }
+    if (load.update(endpoints.values(), nowNanos)) {
+      for (EndpointCapacity other : endpoints.values()) {
+        if (other.observations() > 0) {
+          other.updateLimit(load, nowNanos);
+        }
+      }
+    }
   }
 
   /** Records that an endpoint had no free slot. */
@@ -189,7 +191,11 @@
   public void importIfUnknown(List<ExportedEstimate> estimates, long nowNanos) {
     for (ExportedEstimate estimate : estimates) {
       EndpointCapacity endpoint = endpoints.get(estimate.endpointId());
-      if (endpoint == null || endpoint.hasToken()) {
+      boolean isUsable =
+          Double.isFinite(estimate.millisPerToken())
+              && Double.isFinite(estimate.millisPerEvent())
+              && estimate.millisPerToken() > 0;
+      if (endpoint == null || endpoint.hasToken() || !isUsable) {
         continue;
       }
       count(endpoint, -1);
--- a/buckthornferry/src/main/java/org/buckthornferry/concurrency/EndpointCapacity.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/concurrency/EndpointCapacity.java
@@ -28,7 +28,7 @@
   private static final double LATE_VALUE = 0.33;
 
   /** The share of a good answer's value that a request is expected to bring at another endpoint. */
-  private static final double ELSEWHERE_VALUE_SHARE = 0.8;
+  private static final double ELSEWHERE_VALUE_SHARE = 0.9;
 
   /** A change of the limit must gain this share; less is noise. */
   private static final double MIN_GAIN = 0.05;
@@ -36,12 +36,68 @@
   /** One step upwards at a time, so that the answers at the new limit are seen before the next. */
   private static final long RAISE_INTERVAL_NANOS = 500_000_000L;
 
+  /** Longer than the disturbances of 600 ms that are seen on shared hardware. */
+  private static final long LOWER_DELAY_NANOS = 700_000_000L;
+
   /** How long a rejected reservation lowers the limit; about the time of one answer. */
   private static final long FULL_NANOS = 500_000_000L;
 
   /** The ratio of the change of a speed that is worth an export. */
   private static final double EXPORT_RATIO = 1.1;
 
+  private static final double SHARE_WEIGHT = 0.1;
+  private static final double ALONE_SAMPLE_WEIGHT = 0.25;
+  private static final double FULL_SAMPLE_WEIGHT = 0.2;
+
+  /**
+   * The weight of the assumption that a single request misses as many goals as the last ones that
+   * ran alone, in samples; without it, an endpoint that is always full seems to miss its goals at
+   * any concurrency.
+   */
+  private static final double ALONE_WEIGHT = 2;
+
+  /** The smallest weight of an answer's goals; the largest is its reciprocal. */
+  private static final double MIN_MISS_WEIGHT = 0.2;
+
+  /** The number of ended answers whose concurrency is remembered. */
+  private static final int RECENT = 16;
+
+  /**
+   * An endpoint that is always full shows nothing about fewer requests at a time; so its limit is
+   * lowered for a moment, at first soon and then less often while nothing is gained by it: to half
+   * if many goals are missed, else by one.
+   */
+  private static final long MIN_PROBE_INTERVAL_NANOS = 4_000_000_000L;
+
+  /**
+   * The share of missed goals from which on a probe is urgent. Disturbances that slow 15% of the
+   * endpoints at a time break the goals of up to a quarter of the answers, at any concurrency.
+   */
+  private static final double URGENT_MISSED_SHARE = 0.35;
+
+  /** The share of requests sent at the limit from which on fewer are a rare sight. */
+  private static final double ALWAYS_FULL_SHARE = 0.5;
+
+  private static final long MAX_PROBE_INTERVAL_NANOS = 64_000_000_000L;
+
+  /** The number of answers at the lower concurrency that end a probe. */
+  private static final int PROBE_ANSWERS = 3;
+
+  /** The pause after a probe relative to its length, which bounds its cost. */
+  private static final long PROBE_PAUSE_RATIO = 15;
+
+  /** The longest duration of a probe, in mean answers. */
+  private static final double MAX_PROBE_DURATIONS = 3;
+
+  /** An endpoint without an answer for so many mean answers has free slots. */
+  private static final double IDLE_DURATIONS = 4;
+
+  private static final double MIN_IDLE_MILLIS = 5_000;
+
+  /** The number of samples at lower concurrency that make a probe unnecessary. */
+  private static final double KNOWN_SAMPLES = 2;
+
+  private final SpeedClasses classes;
   private int slots;
   private int limit;
   private LevelCurve tokenTimes;
@@ -58,6 +114,20 @@
   private long observations;
   private long observedNanos;
   private long raisedNanos;
+  private long lowerSinceNanos;
+  private final Recent[] recent = new Recent[RECENT];
+  private int recentIndex;
+  private double fullShare = 1;
+  private long fullSamples;
+  private long limitNanos;
+  private double missedShare;
+  private double aloneMissedShare;
+  private int probeLimit;
+  private long probeNanos;
+  private long nextProbeNanos;
+  private long probeIntervalNanos = MIN_PROBE_INTERVAL_NANOS;
+  private int probeAnswers;
+  private double meanDurationMillis;
   private int fullLimit;
   private long fullNanos;
   private boolean wasFull;
@@ -65,8 +135,29 @@
   private double exportedMillisPerToken;
   private int exportedLimit;
 
-  EndpointCapacity(int slots, long nowNanos) {
+  /** An answer that has ended; requests that end after it tell more about its concurrency. */
+  private static final class Recent {
+    private final int atStart;
+    private final long sentNanos;
+    private final long endNanos;
+    private int level;
+    private double missValue;
+    private double missWeight;
+    private SpeedClasses.SpeedClass speedClass;
+
+    Recent(int atStart, int level, long sentNanos, long endNanos) {
+      this.atStart = atStart;
+      this.level = level;
+      this.sentNanos = sentNanos;
+      this.endNanos = endNanos;
+    }
+  }
+
+  EndpointCapacity(SpeedClasses classes, int slots, long nowNanos) {
+    this.classes = classes;
     raisedNanos = nowNanos;
+    lowerSinceNanos = nowNanos;
+    nextProbeNanos = nowNanos + MIN_PROBE_INTERVAL_NANOS / 2;
     setSlots(slots);
   }
 
@@ -78,9 +169,13 @@
     }
     slots = levels;
     limit = levels;
-    tokenTimes = new LevelCurve(levels, 0, EXPECTED_TIME_SLOPE);
-    eventTimes = new LevelCurve(levels, 0, EXPECTED_TIME_SLOPE);
-    misses = new LevelCurve(levels, EXPECTED_MISS_SLOPE, 0);
+    tokenTimes = new LevelCurve(levels, 0, EXPECTED_TIME_SLOPE, 0);
+    eventTimes = new LevelCurve(levels, 0, EXPECTED_TIME_SLOPE, 0);
+    misses = newMissCurve(levels);
+  }
+
+  static LevelCurve newMissCurve(int levels) {
+    return new LevelCurve(levels, EXPECTED_MISS_SLOPE, 0, ALONE_WEIGHT);
   }
 
   /** Returns the expected duration of an answer at a concurrency; 0 if unknown. */
@@ -117,25 +212,106 @@
     boolean hasPace = answer.events() >= MIN_EVENTS;
     double streamMillis = hasPace ? answer.streamMillis() / biasFactor : 0;
     double firstMillis = answer.firstEventMillis() / biasFactor;
-    int level = level(answer.concurrency());
+    double durationMillis = answer.firstEventMillis() + answer.streamMillis();
+    long sentNanos = nowNanos - (long) (durationMillis * 1e6);
+    meanDurationMillis += Math.max(0.1, 1.0 / observations) * (durationMillis - meanDurationMillis);
+    int level = highestConcurrency(level(answer.concurrency()), sentNanos);
+    countProbe(level, sentNanos);
     double expectedMillis = expectedMillis(level, tokens, answer.events());
     if (expectedMillis > 0) {
       detectChange((firstMillis + streamMillis) / expectedMillis, nowNanos);
     }
     double perToken = bounded(firstMillis / tokens, tokenTimes, level);
-    tokenTimes.add(level, perToken);
+    tokenTimes.add(level, perToken, 1);
     tokenSamples++;
     millisPerToken += Math.max(SPEED_WEIGHT, 1 / tokenSamples) * (perToken - millisPerToken);
     if (hasPace) {
       double perEvent = bounded(streamMillis / (answer.events() - 1), eventTimes, level);
-      eventTimes.add(level, perEvent);
+      eventTimes.add(level, perEvent, 1);
       eventSamples++;
       millisPerEvent += Math.max(SPEED_WEIGHT, 1 / eventSamples) * (perEvent - millisPerEvent);
     }
     unloadedMillisPerToken = tokenTimes.at(1);
     unloadedMillisPerEvent = eventSamples > 0 ? eventTimes.at(1) : 0;
+    Recent ended = new Recent(level(answer.concurrency()), level, sentNanos, nowNanos);
+    recent[recentIndex] = ended;
+    recentIndex = (recentIndex + 1) % RECENT;
+    // The first requests find free slots in any case.
+    if (observations > slots && sentNanos - limitNanos >= 0) {
+      boolean isFull = answer.concurrency() >= limit(nowNanos);
+      fullSamples++;
+      fullShare += Math.max(FULL_SAMPLE_WEIGHT, 1.0 / fullSamples) * ((isFull ? 1 : 0) - fullShare);
+    }
     if (isCredible) {
-      observeGoals(answer, tokens, level);
+      observeGoals(answer, tokens, durationMillis, ended);
+    }
+  }
+
+  /**
+   * Returns the highest concurrency during an answer: requests that are sent later delay it as much
+   * as those that ran before. Corrects ended answers in turn.
+   */
+  private int highestConcurrency(int atStart, long sentNanos) {
+    int highest = atStart;
+    for (Recent other : recent) {
+      if (other == null) {
+        continue;
+      }
+      if (other.atStart > highest && other.sentNanos - sentNanos > 0) {
+        highest = other.atStart;
+      }
+      boolean joined = sentNanos - other.sentNanos > 0 && sentNanos - other.endNanos < 0;
+      if (joined && other.level < atStart) {
+        if (other.speedClass != null) {
+          misses.move(other.level, atStart, other.missValue, other.missWeight);
+          LevelCurve pooled = other.speedClass.misses();
+          pooled.move(other.level, atStart, other.missValue, other.missWeight);
+        }
+        other.level = atStart;
+      }
+    }
+    return highest;
+  }
+
+  private void countProbe(int level, long sentNanos) {
+    if (probeLimit > 0 && level <= probeLimit && sentNanos - probeNanos >= 0) {
+      probeAnswers++;
+    }
+  }
+
+  private boolean isProbing(long nowNanos) {
+    return probeLimit > 0
+        && probeAnswers < PROBE_ANSWERS
+        && nowNanos - probeNanos < MAX_PROBE_DURATIONS * meanDurationMillis * 1e6;
+  }
+
+  /** Starts or ends a probe of a lower concurrency. */
+  private void updateProbe(long nowNanos) {
+    if (probeLimit > 0) {
+      if (!isProbing(nowNanos)) {
+        probeLimit = 0;
+        limitNanos = nowNanos;
+        long lengthNanos = nowNanos - probeNanos;
+        nextProbeNanos = nowNanos + Math.max(probeIntervalNanos, PROBE_PAUSE_RATIO * lengthNanos);
+        probeIntervalNanos = Math.min(MAX_PROBE_INTERVAL_NANOS, 2 * probeIntervalNanos);
+      }
+      return;
+    }
+    boolean isUrgent = missedShare >= URGENT_MISSED_SHARE;
+    long dueNanos = isUrgent ? nextProbeNanos : nextProbeNanos + MAX_PROBE_INTERVAL_NANOS;
+    if (limit == 1 || nowNanos - dueNanos < 0 || fullShare < ALWAYS_FULL_SHARE) {
+      return;
+    }
+    int lower = isUrgent ? limit / 2 : limit - 1;
+    double known = 0;
+    for (int level = 1; level <= lower; level++) {
+      known += tokenTimes.weight(level);
+    }
+    if (known < KNOWN_SAMPLES) {
+      probeLimit = lower;
+      probeNanos = nowNanos;
+      limitNanos = nowNanos;
+      probeAnswers = 0;
     }
   }
 
@@ -157,38 +333,72 @@
     tokenTimes.decay(KEPT_AFTER_CHANGE);
     eventTimes.decay(KEPT_AFTER_CHANGE);
     misses.decay(KEPT_AFTER_CHANGE);
+    aloneMissedShare = 0;
+    misses.setAnchor(0);
+    if (factor > 1) {
+      probeIntervalNanos = MIN_PROBE_INTERVAL_NANOS;
+      nextProbeNanos = Math.min(nextProbeNanos, nowNanos + MIN_PROBE_INTERVAL_NANOS);
+    }
     // The averages have followed the last answers in part; the curves hold the whole change.
     int present = level(limit);
     millisPerToken = tokenTimes.at(present);
     millisPerEvent = eventTimes.at(present);
   }
 
-  private void observeGoals(Observation answer, double tokens, int level) {
+  private void observeGoals(
+      Observation answer, double tokens, double durationMillis, Recent ended) {
+    boolean isGood =
+        answer.firstEventMillis() <= answer.firstEventGoalMillis()
+            && (answer.gapGoalMillis() <= 0 || answer.longestGapMillis() <= answer.gapGoalMillis());
+    boolean isLateAtStart =
+        tokenTimes.at(ended.level) * tokens > answer.firstEventGoalMillis()
+            && answer.longestGapMillis() <= answer.gapGoalMillis();
+    if (!isLateAtStart) {
+      missedShare += SHARE_WEIGHT * ((isGood ? 0 : 1) - missedShare);
+    }
     boolean wouldBeGoodAlone =
         unloadedMillisPerToken * tokens <= answer.firstEventGoalMillis()
             && (answer.gapGoalMillis() <= 0 || unloadedMillisPerEvent <= answer.gapGoalMillis());
-    hopelessShare += 0.1 * ((wouldBeGoodAlone ? 0 : 1) - hopelessShare);
+    hopelessShare += SHARE_WEIGHT * ((wouldBeGoodAlone ? 0 : 1) - hopelessShare);
     if (!wouldBeGoodAlone) {
       return;
     }
-    boolean isGood =
-        answer.firstEventMillis() <= answer.firstEventGoalMillis()
-            && (answer.gapGoalMillis() <= 0 || answer.longestGapMillis() <= answer.gapGoalMillis());
-    misses.add(level, isGood ? 0 : 1);
+    // Long answers miss more often, and short ones end first after a change of the limit; so misses
+    // are counted per duration.
+    double relativeDuration = durationMillis / Math.max(1, meanDurationMillis);
+    ended.missWeight = Math.max(MIN_MISS_WEIGHT, Math.min(1 / MIN_MISS_WEIGHT, relativeDuration));
+    ended.missValue = isGood ? 0 : 1 / ended.missWeight;
+    boolean wasAlone = limit == 1 && ended.sentNanos - limitNanos >= 0;
+    if (wasAlone) {
+      aloneMissedShare += ALONE_SAMPLE_WEIGHT * ((isGood ? 0 : 1) - aloneMissedShare);
+      misses.setAnchor(aloneMissedShare);
+    }
+    boolean isPlain = eventSamples == 0;
+    ended.speedClass =
+        classes.of(
+            isPlain ? unloadedMillisPerToken : unloadedMillisPerEvent,
+            isPlain,
+            slots,
+            ended.endNanos);
+    ended.speedClass.add(ended.level, ended.missValue, ended.missWeight, ended.endNanos);
+    misses.setPooled(ended.speedClass.misses());
+    misses.add(ended.level, ended.missValue, ended.missWeight);
   }
 
-  /**
-   * Chooses the limit that brings the callers most in a unit of time.
-   *
-   * @param spareShare how far from overload the service is, from 0 to 1
-   */
-  void updateLimit(double meanTokens, double meanEvents, double spareShare, long nowNanos) {
-    double price = ELSEWHERE_VALUE_SHARE * spareShare * value(1);
+  /** Chooses the limit that brings the callers most in a unit of time. */
+  void updateLimit(ServiceLoad load, long nowNanos) {
+    updateProbe(nowNanos);
+    if (probeLimit > 0) {
+      return;
+    }
+    // Where single requests miss the goals, fewer requests at a time help nobody.
+    double price = ELSEWHERE_VALUE_SHARE * load.spareShare() * value(1) * goodShare(1);
     int best = 1;
     double bestGain = -Double.MAX_VALUE;
     double presentGain = 0;
     for (int level = 1; level <= slots; level++) {
-      double millis = tokenTimes.at(level) * meanTokens + eventTimes.at(level) * meanEvents;
+      double millis =
+          tokenTimes.at(level) * load.meanTokens() + eventTimes.at(level) * load.meanEvents();
       double gain = millis <= 0 ? 0 : level / millis * (value(level) - price);
       if (gain >= bestGain) {
         best = level;
@@ -198,21 +408,33 @@
         presentGain = gain;
       }
     }
-    if (best == limit || bestGain - presentGain < MIN_GAIN * Math.abs(bestGain)) {
-      return;
+    boolean isLower = best < limit && bestGain - presentGain >= MIN_GAIN * Math.abs(bestGain);
+    if (!isLower) {
+      lowerSinceNanos = nowNanos;
     }
-    if (best < limit) {
-      limit = best;
-      raisedNanos = nowNanos;
-    } else if (nowNanos - raisedNanos >= RAISE_INTERVAL_NANOS) {
-      limit++;
-      raisedNanos = nowNanos;
+    if (isLower && nowNanos - lowerSinceNanos >= LOWER_DELAY_NANOS) {
+      probeIntervalNanos = MIN_PROBE_INTERVAL_NANOS;
+      setLimit(best, nowNanos);
+    } else if (best > limit
+        && bestGain - presentGain >= MIN_GAIN * Math.abs(bestGain)
+        && nowNanos - raisedNanos >= RAISE_INTERVAL_NANOS) {
+      setLimit(limit + 1, nowNanos);
     }
   }
 
+  private void setLimit(int newLimit, long nowNanos) {
+    limit = newLimit;
+    raisedNanos = nowNanos;
+    limitNanos = nowNanos;
+    lowerSinceNanos = nowNanos;
+  }
+
   private double value(int level) {
-    double goodShare = (1 - hopelessShare) * (1 - Math.min(1, misses.at(level)));
-    return LATE_VALUE + (1 - LATE_VALUE) * goodShare;
+    return LATE_VALUE + (1 - LATE_VALUE) * goodShare(level);
+  }
+
+  private double goodShare(int level) {
+    return (1 - hopelessShare) * (1 - Math.min(1, misses.at(level)));
   }
 
   /** Lowers the limit for a moment, because the endpoint had no free slot. */
@@ -257,13 +479,22 @@
     return slots;
   }
 
+  /** Returns the share of the last requests that were sent at the limit; 0 if it is idle. */
+  double fullShare(long nowNanos) {
+    double idleMillis = (nowNanos - observedNanos) / 1e6;
+    return idleMillis > Math.max(MIN_IDLE_MILLIS, IDLE_DURATIONS * meanDurationMillis)
+        ? 0
+        : fullShare;
+  }
+
   /** Returns the learned limit, without the effect of a rejected reservation. */
   int limit() {
     return limit;
   }
 
   int limit(long nowNanos) {
-    return wasFull && nowNanos - fullNanos < FULL_NANOS ? Math.min(limit, fullLimit) : limit;
+    int present = isProbing(nowNanos) ? Math.min(limit, probeLimit) : limit;
+    return wasFull && nowNanos - fullNanos < FULL_NANOS ? Math.min(present, fullLimit) : present;
   }
 
   boolean hasToken() {
--- a/buckthornferry/src/main/java/org/buckthornferry/concurrency/ServiceLoad.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/concurrency/ServiceLoad.java
@@ -1,36 +1,62 @@
 package org.buckthornferry.concurrency;
 
-/** The mean work of a request and the share of the allowed slots that are in use. */
-final class ServiceLoad {
-  /** The time over which the number of running requests is averaged. */
-  private static final double WINDOW_NANOS = 4e9;
+import java.util.Collection;
 
+/** The mean work of a request, and how far the service is from overload. */
+final class ServiceLoad {
   private static final double SAMPLE_WEIGHT = 0.01;
+  private static final long UPDATE_INTERVAL_NANOS = 250_000_000L;
+  private static final int MIN_OBSERVATIONS = 5;
+
+  /** Overload is noticed within a second; low limits meanwhile would refuse requests. */
+  private static final double RISE_WEIGHT = 0.25;
 
-  /** The share of the limits in use from which on requests are taken to wait for slots. */
-  private static final double FULL_SHARE = 0.92;
+  private static final double FALL_WEIGHT = 0.05;
 
-  /** The range below {@link #FULL_SHARE} in which the spare share rises from 0 to 1. */
-  private static final double SPARE_RANGE = 0.25;
+  /** The share of requests sent at the limit from which on requests are taken to wait. */
+  private static final double OVERLOAD_SHARE = 0.9;
+
+  /** The range below {@link #OVERLOAD_SHARE} in which the spare share rises from 0 to 1. */
+  private static final double SPARE_RANGE = 0.2;
 
   private double meanTokens;
   private double meanEvents;
   private long answers;
-  private double usedNanos;
-  private double elapsedNanos;
-  private long lastNanos;
+  private double fullShare = 1;
+  private long updatedNanos;
 
   /** Adds an answer. */
-  void add(double tokens, int events, double durationMillis, long nowNanos) {
+  void add(double tokens, int events) {
     answers++;
     double weight = Math.max(SAMPLE_WEIGHT, 1.0 / answers);
     meanTokens += weight * (tokens - meanTokens);
     meanEvents += weight * (events - meanEvents);
-    long sinceNanos = answers == 1 ? 0 : Math.max(0, nowNanos - lastNanos);
-    lastNanos = nowNanos;
-    double decay = sinceNanos == 0 ? 1 : Math.exp(-sinceNanos / WINDOW_NANOS);
-    usedNanos = usedNanos * decay + durationMillis * 1e6;
-    elapsedNanos = elapsedNanos * decay + WINDOW_NANOS * (1 - decay);
+  }
+
+  /**
+   * Updates the share of requests sent at the limit of their endpoint, if this is due.
+   *
+   * @return whether it was due
+   */
+  boolean update(Collection<EndpointCapacity> endpoints, long nowNanos) {
+    if (answers > 1 && nowNanos - updatedNanos < UPDATE_INTERVAL_NANOS) {
+      return false;
+    }
+    updatedNanos = nowNanos;
+    double full = 0;
+    double sum = 0;
+    for (EndpointCapacity endpoint : endpoints) {
+      if (endpoint.observations() < MIN_OBSERVATIONS) {
+        continue;
+      }
+      full += endpoint.limit() * endpoint.fullShare(nowNanos);
+      sum += endpoint.limit();
+    }
+    if (sum > 0) {
+      double change = full / sum - fullShare;
+      fullShare += (change > 0 ? RISE_WEIGHT : FALL_WEIGHT) * change;
+    }
+    return true;
   }
 
   double meanTokens() {
@@ -42,14 +68,10 @@
   }
 
   /**
-   * Returns how far from overload the service is: 0 when nearly all slots within the limits are in
-   * use, 1 when a third of them is free.
+   * Returns how far from overload the service is: 0 when nearly all requests are sent at the limit
+   * of their endpoint, because others wait for the slots; 1 when many find more than one slot.
    */
-  double spareShare(long sumOfLimits) {
-    if (elapsedNanos < WINDOW_NANOS / 4 || sumOfLimits == 0) {
-      return 0;
-    }
-    double usedShare = usedNanos / elapsedNanos / sumOfLimits;
-    return Math.max(0, Math.min(1, (FULL_SHARE - usedShare) / SPARE_RANGE));
+  double spareShare() {
+    return Math.max(0, Math.min(1, (OVERLOAD_SHARE - fullShare) / SPARE_RANGE));
   }
 }
