Keep calls of the common queue apart from others and wait for cached prompts

Calls of the queue have a connection of their own and 400 ms, and endpoints that reject are asked again more slowly.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -34,10 +34,24 @@
   }
 
   /**
-   * Returns whether replies are deferred until an event; such calls use a connection of their own.
+   * Returns the connection that calls of this kind use. A call without a reply in time closes its
+   * connection with all other calls on it, and a deferred reply delays those behind it.
    */
-  boolean isLongPoll() {
-    return this == CHANGES;
+  Lane lane() {
+    return switch (this) {
+      case CHANGES -> Lane.LONG_POLL;
+      case QUEUE, QUEUE_DECISIONS -> Lane.QUEUE;
+      case VIEW, ALLOWANCE, CRASHES, MOVE, LIMIT, PARTS, USAGE, DEMAND -> Lane.DEFAULT;
+    };
+  }
+
+  /** Calls that share a connection. */
+  enum Lane {
+    DEFAULT,
+    /** Replies are deferred until an event. */
+    LONG_POLL,
+    /** Short timeouts of other calls must not end those that all waiting requests depend on. */
+    QUEUE
   }
 
   byte code() {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerRpc.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerRpc.java
@@ -64,11 +64,7 @@
   private Channel server;
   private boolean stopped;
 
-  /**
-   * Long polls use a connection of their own: replies come in call order, so a pending one would
-   * cause head-of-line blocking.
-   */
-  private record ConnectionKey(InetSocketAddress address, boolean isLongPoll) {}
+  private record ConnectionKey(InetSocketAddress address, PeerMessageKind.Lane lane) {}
 
   /** Creates the peer calls of an instance, which listens once started. */
   public PeerRpc(InetSocketAddress address, EventLoopGroup eventLoops, Scheduler scheduler) {
@@ -129,7 +125,7 @@
       return CompletableFuture.failedFuture(new IOException("this instance is stopping"));
     }
     Connection connection =
-        connections.computeIfAbsent(new ConnectionKey(other, kind.isLongPoll()), Connection::new);
+        connections.computeIfAbsent(new ConnectionKey(other, kind.lane()), Connection::new);
     return connection.call(kind, message, timeoutMillis);
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/ClassShares.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/ClassShares.java
@@ -13,7 +13,7 @@
   private static final double GUARANTEED_SHARE = 0.2;
 
   /** The guaranteed share of long answers, which occupy slots many times longer. */
-  private static final double GUARANTEED_LONG_SHARE = 0.1;
+  private static final double GUARANTEED_LONG_SHARE = 0.2;
 
   /** The window of the counts, in milliseconds; longer than a burst, after which all are served. */
   private static final long WINDOW_MILLIS = 20_000;
@@ -59,8 +59,8 @@
   }
 
   /**
-   * Returns whether the waiting requests of a class are no more than those that its guaranteed share
-   * lets start, whatever the priority of others.
+   * Returns whether the waiting requests of a class are no more than those that its guaranteed
+   * share lets start, whatever the priority of others.
    */
   boolean coversWaiting(Ticket ticket, long nowNanos) {
     Counts counts = counts(ticket);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
@@ -26,10 +26,10 @@
   private static final long TRUST_MILLIS = 1_000;
 
   /** The first backoff after a rejection for lack of a slot, in milliseconds. */
-  private static final long FIRST_FULL_BACKOFF_MILLIS = 4;
+  private static final long FIRST_FULL_BACKOFF_MILLIS = 8;
 
   /** The longest backoff after rejections for lack of a slot, in milliseconds. */
-  private static final long MAX_FULL_BACKOFF_MILLIS = 128;
+  private static final long MAX_FULL_BACKOFF_MILLIS = 256;
 
   /** The backoff after a rejection by an endpoint that closes its connections, in milliseconds. */
   private static final long CLOSING_BACKOFF_MILLIS = 400;
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -16,6 +16,7 @@
 import org.buckthornferry.concurrency.Observation;
 import org.buckthornferry.dispatch.AnswerLengths;
 import org.buckthornferry.dispatch.AttemptOutcome;
+import org.buckthornferry.dispatch.PromptPrefix;
 import org.buckthornferry.dispatch.VersionPolicy;
 import org.buckthornferry.error.ErrorKind;
 
@@ -43,6 +44,12 @@
   /** The expected time until a slot becomes free at a busy endpoint, in milliseconds. */
   private static final long SLOT_WAIT_MILLIS = 100;
 
+  /**
+   * The size of a shared part from which a slot at an endpoint that has cached it is worth waiting
+   * for, in tokens; reading it takes about as long as the wait.
+   */
+  private static final long MIN_AWAITED_TOKENS = 4_000;
+
   /** The share of the slots below which free ones count as scarce. */
   private static final double SCARCE_SHARE = 0.1;
 
@@ -408,11 +415,37 @@
       return Optional.empty();
     }
     boolean waits =
-        bestScore.fit() != PlacementScore.Fit.GOOD
-            && isBusyEndpointBetter(queued, bestScore.fit(), nowNanos);
+        bestScore.fit() == PlacementScore.Fit.GOOD
+            ? isPromptCachedElsewhere(queued, best, nowNanos)
+            : isBusyEndpointBetter(queued, bestScore.fit(), nowNanos);
     return waits ? Optional.empty() : Optional.of(best);
   }
 
+  /**
+   * Returns whether a busy endpoint has cached a large part of the prompt that the chosen one would
+   * read again, and keeps the goals after a wait.
+   */
+  private boolean isPromptCachedElsewhere(
+      QueuedTicket queued, EndpointState chosen, long nowNanos) {
+    PromptPrefix prefix = queued.ticket().promptPrefix();
+    if (prefix.tokens() < MIN_AWAITED_TOKENS || chosen.cachedTokens(prefix, nowNanos) > 0) {
+      return false;
+    }
+    long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
+    for (EndpointState endpoint : endpoints.values()) {
+      boolean isCandidate =
+          endpoint.cachedTokens(prefix, nowNanos) > 0
+              && isUsable(endpoint, nowNanos)
+              && !queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id());
+      if (isCandidate
+          && score(queued, endpoint, /* isScarce= */ false, laterNanos).fit()
+              == PlacementScore.Fit.GOOD) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private PlacementScore score(
       QueuedTicket queued, EndpointState endpoint, boolean isScarce, long nowNanos) {
     return PlacementScore.of(
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueCalls.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueCalls.java
@@ -18,10 +18,11 @@
   private static final Logger LOG = Logger.getLogger(QueueCalls.class);
 
   /**
-   * Timeout of a call, in milliseconds. A reply takes about 2 ms; a request that has waited for the
-   * timeout can still meet its goal through another coordinator.
+   * Timeout of a call, in milliseconds. A reply takes about 2 ms, and up to 200 ms from a small
+   * instance under load; instances that leave it then split the queue. A request that has waited
+   * for the timeout can still meet its goal through another coordinator.
    */
-  static final long TIMEOUT_MILLIS = 200;
+  static final long TIMEOUT_MILLIS = 400;
 
   private final Blackboard blackboard;
   private final PeerCaller peers;
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueuePosition.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueuePosition.java
@@ -25,7 +25,7 @@
   private static final double LAST_CALL_LEVELS = 0.75;
 
   /** How far long answers fall behind, of which each displaces several short ones. */
-  private static final double LONG_LEVELS = 0.5;
+  private static final double LONG_LEVELS = 0.25;
 
   /**
    * The factor of the expected run that is added to the arrival. A request that has waited longer
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/WaitEstimate.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/WaitEstimate.java
@@ -50,7 +50,8 @@
   }
 
   /**
-   * Returns the expected wait of a request; 0 when none is ahead, or before the first run has ended.
+   * Returns the expected wait of a request; 0 when none is ahead, or before the first run has
+   * ended.
    *
    * @param ahead the number of waiting requests that precede it
    * @param slots the number of slots that can be used
