--- a/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
@@ -448,7 +448,7 @@
 
   /** Renews the lease; repeats that until there is a reply, also when this instance may not act. */
   private void renew(Tenure held) {
-    if (!isCurrent(held) || held.hasEnded) {
+    if (!isOngoing(held) || held.hasEnded) {
       return;
     }
     if (held.unconfirmedRenewals >= MAX_UNCONFIRMED_RENEWALS) {
@@ -461,7 +461,7 @@
     Completions.onComplete(
         store.renewLease(held.lease),
         (done, failure) -> {
-          if (!isCurrent(held) || held.hasEnded) {
+          if (!isOngoing(held) || held.hasEnded) {
             return;
           }
           if (failure == null) {
@@ -492,14 +492,14 @@
         held.renewalSentNanos + TimeUnit.MILLISECONDS.toNanos(terms.authorityMillis());
     scheduleStep(
         () -> {
-          if (isCurrent(held)) {
+          if (isOngoing(held)) {
             lose("the lease has ended");
           }
         },
         millisUntil(untilNanos));
   }
 
-  private boolean isCurrent(Tenure held) {
+  private boolean isOngoing(Tenure held) {
     return tenure.filter(current -> current == held).isPresent();
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageCounter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageCounter.java
@@ -10,8 +10,8 @@
 import org.buckthornferry.util.MonotonicClock;
 
 /**
- * Counts the runs of callers' requests that began at endpoints, each at most once, by the instance
- * that the caller sent it to:
+ * Counts the runs of callers' requests that began at endpoints. Each counts at most once, on the
+ * instance to which the caller sent the request.
  *
  * <ul>
  *   <li>A stream counts when its first event arrives, a plain request at the time of the head of
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/MessageCodec.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/MessageCodec.java
@@ -19,6 +19,7 @@
   /** Writes the fields of one message. */
   @FunctionalInterface
   public interface FieldWriter {
+    /** Writes the fields; fails only if the buffer does. */
     void write(MessageBufferPacker packer) throws IOException;
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -184,8 +184,6 @@
             MonotonicClock.SYSTEM,
             System::currentTimeMillis);
     peers.addHandler(PeerMessageKind.MOVE, rollouts::answer);
-    SharedAllowances allowances =
-        new SharedAllowances(blackboard, peers, settings.instanceId(), MonotonicClock.SYSTEM);
     this.limits =
         new EndpointLimits(
             blackboard, peers, settings.instanceId(), scheduler, viewClock, registry);
@@ -205,6 +203,8 @@
             scheduler,
             viewClock,
             random);
+    SharedAllowances allowances =
+        new SharedAllowances(blackboard, peers, settings.instanceId(), MonotonicClock.SYSTEM);
     this.relay =
         new Relay(
             blackboard,
--- a/buckthornferry/src/test/java/org/buckthornferry/duty/DutyWorld.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/duty/DutyWorld.java
@@ -110,7 +110,8 @@
     members.put(id, member);
     Map<String, InetSocketAddress> listed = new HashMap<>();
     members.forEach((other, known) -> listed.put(other, known.address));
-    members.forEach((other, known) -> known.fleet.accept(new FleetView(listed, Map.of(), Map.of())));
+    members.forEach(
+        (other, known) -> known.fleet.accept(new FleetView(listed, Map.of(), Map.of())));
     member.view.start();
     member.holder.start();
     member.act();
