--- a/buckthornferry/src/main/java/org/buckthornferry/catalog/Route.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/catalog/Route.java
@@ -34,6 +34,12 @@
     List<String> allowedRegions,
     long patienceMillis) {
 
+  /** Makes defensive copies of the lists. */
+  public Route {
+    weightedServices = List.copyOf(weightedServices);
+    allowedRegions = List.copyOf(allowedRegions);
+  }
+
   /** Creates a route whose callers wait until its timeout. */
   public Route(
       String name,
@@ -69,12 +75,6 @@
   /** A service and its weight in the division of a route's requests. */
   public record WeightedService(String serviceName, double weight) {}
 
-  /** Makes defensive copies of the lists. */
-  public Route {
-    weightedServices = List.copyOf(weightedServices);
-    allowedRegions = List.copyOf(allowedRegions);
-  }
-
   /** Returns whether a request may be retried after it may have run. */
   public boolean isRetryable() {
     return kind.isRetryable(isResumable);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/MessageCodec.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/MessageCodec.java
@@ -19,7 +19,7 @@
   /** Writes the fields of one message. */
   @FunctionalInterface
   public interface FieldWriter {
-    /** Writes the fields; fails if one cannot be encoded. */
+    /** Writes the fields; fails only if the buffer does. */
     void write(MessageBufferPacker packer) throws IOException;
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -191,7 +191,7 @@
 
   /** Records the end of an attempt, or of a grant that was not used. */
   public void onEnded(String instanceId, EndedRun run, long nowNanos) {
-    Grant grant = grants.remove(new TicketKey(instanceId, run.ticketNumber()));
+    final Grant grant = grants.remove(new TicketKey(instanceId, run.ticketNumber()));
     EndpointState endpoint = endpoints.get(run.endpointId());
     if (endpoint == null) {
       return;
