Mend what the review of the common queue found

Requests handed to the local dispatcher were refused at once, also those that had been sent; the wait that pays was computed with the mean speed, so that requests were refused that a fast endpoint serves; long answers were never marked; eight tickets that wait for a fast endpoint kept slots of others idle; a 421 removed an endpoint for the whole fleet; returned grants taught nothing; admitted tickets were judged again. A test of long answers failed before; the other findings come from reading.

--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/Dispatcher.java
@@ -332,7 +332,8 @@
       return;
     }
     // Refusing early leaves the caller time to try elsewhere.
-    double waitMillis = isNew ? queue.expectedWaitMillis(request, nowNanos) : 0;
+    boolean isJudged = isNew && !isBoundToInstance(request) && !request.isHandedOver();
+    double waitMillis = isJudged ? queue.expectedWaitMillis(request, nowNanos) : 0;
     if (waitMillis > maxQueueWaitMillis(request)) {
       refuse(
           request,
@@ -846,6 +847,10 @@
   }
 
   private long queueDeadlineNanos(WaitingRequest request) {
+    if (request.isHandedOver() && !request.hasBeenSent()) {
+      return Math.min(request.patienceNanos(), request.deadlineNanos())
+          - (long) (fastestFirstEventMillis(request.size().promptTokens()) * NANOS_PER_MILLI);
+    }
     return request.hasBeenSent()
         ? request.deadlineNanos()
         : request.arrivalNanos() + TimeUnit.MILLISECONDS.toNanos(maxQueueWaitMillis(request));
--- a/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/dispatch/WaitingRequest.java
@@ -23,6 +23,7 @@
   private boolean isContinuation;
   private boolean isProbe;
   private boolean isCounted;
+  private boolean isHandedOver;
   private boolean hasBeenSent;
 
   /** Carries out the scheduling decisions about a request. */
@@ -138,6 +139,17 @@
     hasBeenSent = true;
   }
 
+  /**
+   * Marks a request that a coordinator has admitted and now waits here, as long as its caller does.
+   */
+  public void markHandedOver() {
+    isHandedOver = true;
+  }
+
+  boolean isHandedOver() {
+    return isHandedOver;
+  }
+
   /** Marks a partly delivered stream that continues elsewhere; its caller waits for events. */
   public void markContinuation() {
     isContinuation = true;
--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -40,7 +40,8 @@
   Lane lane() {
     return switch (this) {
       case CHANGES -> Lane.LONG_POLL;
-      case QUEUE, QUEUE_DECISIONS -> Lane.QUEUE;
+      case QUEUE -> Lane.QUEUE;
+      case QUEUE_DECISIONS -> Lane.QUEUE_DECISIONS;
       case VIEW, ALLOWANCE, CRASHES, MOVE, LIMIT, PARTS, USAGE, DEMAND -> Lane.DEFAULT;
     };
   }
@@ -51,7 +52,9 @@
     /** Replies are deferred until an event. */
     LONG_POLL,
     /** Short timeouts of other calls must not end those that all waiting requests depend on. */
-    QUEUE
+    QUEUE,
+    /** Two instances may coordinate queues of each other; a lost push must not end their calls. */
+    QUEUE_DECISIONS
   }
 
   byte code() {
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
@@ -45,11 +45,18 @@
    */
   private static final long CONNECTION_MILLIS = 1_200;
 
+  /**
+   * How long an instance gets no further grant at an endpoint that it may not use, in milliseconds:
+   * it knows of a pause, a shutdown or a failure that the coordinator has not seen.
+   */
+  private static final long AVOIDED_MILLIS = 400;
+
   /** The smoothing factor of the moving average of errors. */
   private static final double ERROR_WEIGHT = 0.1;
 
   private final Map<String, Integer> runningByInstance = new HashMap<>();
   private final Map<String, Long> lastEndNanosByInstance = new HashMap<>();
+  private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
   private final LinkedHashMap<String, Long> prefixNanos =
       new LinkedHashMap<>(16, 0.75f, /* accessOrder= */ true) {
         @Override
@@ -65,7 +72,6 @@
   private long backoffUntilNanos;
   private long answeredNanos;
   private double errorShare;
-  private boolean isGone;
 
   EndpointState(Endpoint endpoint, long nowNanos) {
     this.endpoint = endpoint;
@@ -102,7 +108,7 @@
   /** Returns whether the endpoint may get a request as far as failures are concerned. */
   boolean isAvailable(long nowNanos) {
     boolean mayProbe = consecutiveFailures <= 1 || running == 0;
-    return !isGone && mayProbe && backoffUntilNanos - nowNanos <= 0;
+    return mayProbe && backoffUntilNanos - nowNanos <= 0;
   }
 
   void onGranted(String instanceId, PromptPrefix prefix, long nowNanos) {
@@ -124,6 +130,7 @@
   void removeInstance(String instanceId) {
     setRunning(instanceId, 0);
     lastEndNanosByInstance.remove(instanceId);
+    avoidedUntilNanos.remove(instanceId);
   }
 
   /** Returns the number of prompt tokens that the endpoint is expected to have cached. */
@@ -142,7 +149,16 @@
         && nowNanos - endNanos < TimeUnit.MILLISECONDS.toNanos(CONNECTION_MILLIS);
   }
 
+  /** Returns whether an instance has recently returned a grant as not usable. */
+  boolean isAvoidedBy(String instanceId, long nowNanos) {
+    Long untilNanos = avoidedUntilNanos.get(instanceId);
+    return untilNanos != null && untilNanos - nowNanos > 0;
+  }
+
   void onEnded(String instanceId, AttemptOutcome outcome, long nowNanos) {
+    if (outcome == AttemptOutcome.HELD_BACK) {
+      avoidedUntilNanos.put(instanceId, nowNanos + TimeUnit.MILLISECONDS.toNanos(AVOIDED_MILLIS));
+    }
     setRunning(instanceId, runningByInstance.getOrDefault(instanceId, 0) - 1);
     switch (outcome.evidence()) {
       case GOOD -> {
@@ -163,7 +179,8 @@
       }
       case LEAVING -> backOff(CLOSING_BACKOFF_MILLIS, nowNanos);
       case BROKEN -> onFailure(nowNanos);
-      case GONE -> isGone = true;
+      // The report may concern an earlier process at the address; instances check that themselves.
+      case GONE -> backOff(MAX_FAILURE_BACKOFF_MILLIS, nowNanos);
       case NONE -> {}
       default -> throw new IllegalStateException("unknown evidence " + outcome.evidence());
     }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -36,10 +36,10 @@
   public static final long NEVER = Long.MAX_VALUE;
 
   /**
-   * The maximum number of tickets per decision that are passed over because no free endpoint suits
-   * them; looking past the first avoids head-of-line blocking.
+   * The maximum number of tickets of a route per decision that are passed over because no free
+   * endpoint suits them. Requests of other routes may use the endpoints that these wait past.
    */
-  private static final int MAX_SKIPPED = 8;
+  private static final int MAX_SKIPPED_PER_ROUTE = 4;
 
   /** The expected time until a slot becomes free at a busy endpoint, in milliseconds. */
   private static final long SLOT_WAIT_MILLIS = 100;
@@ -68,8 +68,8 @@
   /** The shortest Retry-After, in milliseconds; about the time in which one slot is released. */
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
-  /** The number of tickets that are remembered as counted; some seconds of arrivals. */
-  private static final int MAX_COUNTED = 8_192;
+  /** The number of tickets that are remembered as known; some seconds of arrivals. */
+  private static final int MAX_KNOWN = 8_192;
 
   private final CapacityModel capacities;
   private final VersionPolicy versions;
@@ -77,11 +77,11 @@
   private final Map<String, EndpointState> endpoints = new HashMap<>();
   private final Map<TicketKey, QueuedTicket> tickets = new HashMap<>();
   private final Map<TicketKey, Grant> grants = new HashMap<>();
-  private final Map<TicketKey, Boolean> counted =
+  private final Map<TicketKey, Boolean> isLongByTicket =
       new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<TicketKey, Boolean> eldest) {
-          return size() > MAX_COUNTED;
+          return size() > MAX_KNOWN;
         }
       };
   private final ClassShares shares = new ClassShares();
@@ -145,10 +145,16 @@
    * Adds a ticket, or replaces it. A request keeps its ticket number when it is submitted again, so
    * that it counts as one arrival.
    */
-  public void submit(String instanceId, String failureDomain, Ticket ticket, long nowNanos) {
-    TicketKey key = new TicketKey(instanceId, ticket.number());
+  public void submit(String instanceId, String failureDomain, Ticket submitted, long nowNanos) {
+    TicketKey key = new TicketKey(instanceId, submitted.number());
     remove(key);
-    boolean isNew = counted.put(key, true) == null;
+    boolean isNew = !isLongByTicket.containsKey(key);
+    if (isNew) {
+      isLongByTicket.put(
+          key,
+          answerLengths.isLong(submitted.routeName(), submitted.size().expectedOutputTokens()));
+    }
+    Ticket ticket = submitted.withLong(isLongByTicket.get(key));
     if (isNew) {
       shares.onArrival(ticket, nowNanos);
     }
@@ -158,9 +164,11 @@
     shares.onQueued(ticket);
     int index = Collections.binarySearch(ordered, queued, BY_POSITION);
     ordered.add(index < 0 ? -index - 1 : index, queued);
-    unjudged.add(queued);
     if (isNew) {
+      unjudged.add(queued);
       waits.onAdmitted(queued.position(), nowNanos);
+    } else {
+      queued.markAdmitted();
     }
   }
 
@@ -238,6 +246,14 @@
    */
   public void setRunning(
       String instanceId, Map<String, Integer> runningByEndpointId, long nowNanos) {
+    // The end of a run is not reported here when its instance has changed the coordinator.
+    grants
+        .values()
+        .removeIf(
+            grant ->
+                nowNanos - grant.grantedNanos
+                    > TimeUnit.MILLISECONDS.toNanos(
+                        grant.ticket.deadlineMillis() + GRANT_GRACE_MILLIS));
     Map<String, Integer> fresh = new HashMap<>();
     for (Map.Entry<TicketKey, Grant> entry : grants.entrySet()) {
       boolean isFresh =
@@ -255,6 +271,11 @@
     changes++;
   }
 
+  /** Forgets the ticket numbers of an instance whose process has been restarted. */
+  public void forgetNumbers(String instanceId) {
+    isLongByTicket.keySet().removeIf(key -> key.instanceId().equals(instanceId));
+  }
+
   /** Forgets the tickets and runs of an instance that has left. */
   public void removeInstance(String instanceId) {
     for (TicketKey key : List.copyOf(tickets.keySet())) {
@@ -307,18 +328,20 @@
 
   private void grantFreeSlots(long nowNanos) {
     List<EndpointState> free = freeEndpoints(nowNanos);
-    int skipped = 0;
+    Map<String, Integer> skippedByRoute = new HashMap<>();
     int next = 0;
-    while (!free.isEmpty() && skipped < MAX_SKIPPED && next < ordered.size()) {
+    while (!free.isEmpty() && next < ordered.size()) {
       QueuedTicket first = ordered.get(next);
-      if (first.isSkippedAt(changes)) {
+      String route = first.ticket().routeName();
+      if (first.isSkippedAt(changes)
+          || skippedByRoute.getOrDefault(route, 0) >= MAX_SKIPPED_PER_ROUTE) {
         next++;
         continue;
       }
       Optional<EndpointState> endpoint = choose(first, free, nowNanos);
       if (endpoint.isEmpty()) {
         first.skipAt(changes);
-        skipped++;
+        skippedByRoute.merge(route, 1, Integer::sum);
         next++;
         continue;
       }
@@ -353,11 +376,23 @@
         : QueuePosition.Timeliness.LATE;
   }
 
-  /** Returns how long a request may still wait for a slot so that its caller gets an answer. */
+  /**
+   * Returns how long a request may still wait for a slot at the fastest endpoint so that its caller
+   * gets an answer.
+   */
   private double usefulWaitMillis(QueuedTicket queued, long nowNanos) {
     Ticket ticket = queued.ticket();
-    double firstEventMillis = meanFirstEventMillis(ticket);
-    double runMillis = expectedEvents(ticket) * capacities.meanMillisPerEvent();
+    double millisPerToken =
+        fastest
+            .map(endpoint -> endpoint.estimate().millisPerToken())
+            .orElse(capacities.meanMillisPerToken());
+    double millisPerEvent =
+        fastest
+            .map(endpoint -> endpoint.estimate().millisPerEvent())
+            .orElse(capacities.meanMillisPerEvent());
+    double firstEventMillis =
+        millisPerToken * (ticket.size().promptTokens() + CapacityModel.FIXED_COST_TOKENS);
+    double runMillis = expectedEvents(ticket) * millisPerEvent;
     return Math.min(
         queued.patienceMillis(nowNanos) - firstEventMillis,
         queued.deadlineMillis(nowNanos) - firstEventMillis - runMillis);
@@ -402,7 +437,7 @@
     EndpointState best = null;
     PlacementScore bestScore = null;
     for (EndpointState endpoint : free) {
-      if (queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id())) {
+      if (isExcluded(queued, endpoint, nowNanos)) {
         continue;
       }
       PlacementScore score = score(queued, endpoint, isScarce, nowNanos);
@@ -416,11 +451,18 @@
     }
     boolean waits =
         bestScore.fit() == PlacementScore.Fit.GOOD
-            ? isPromptCachedElsewhere(queued, best, nowNanos)
+            ? mayWaitFor(queued, best, nowNanos) && isPromptCachedElsewhere(queued, best, nowNanos)
             : isBusyEndpointBetter(queued, bestScore.fit(), nowNanos);
     return waits ? Optional.empty() : Optional.of(best);
   }
 
+  /** Returns whether an endpoint still keeps the goals after a wait for a slot elsewhere. */
+  private boolean mayWaitFor(QueuedTicket queued, EndpointState endpoint, long nowNanos) {
+    long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
+    return score(queued, endpoint, /* isScarce= */ false, laterNanos).fit()
+        == PlacementScore.Fit.GOOD;
+  }
+
   /**
    * Returns whether a busy endpoint has cached a large part of the prompt that the chosen one would
    * read again, and keeps the goals after a wait.
@@ -436,7 +478,7 @@
       boolean isCandidate =
           endpoint.cachedTokens(prefix, nowNanos) > 0
               && isUsable(endpoint, nowNanos)
-              && !queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id());
+              && !isExcluded(queued, endpoint, nowNanos);
       if (isCandidate
           && score(queued, endpoint, /* isScarce= */ false, laterNanos).fit()
               == PlacementScore.Fit.GOOD) {
@@ -446,6 +488,11 @@
     return false;
   }
 
+  private static boolean isExcluded(QueuedTicket queued, EndpointState endpoint, long nowNanos) {
+    return queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id())
+        || endpoint.isAvoidedBy(queued.key().instanceId(), nowNanos);
+  }
+
   private PlacementScore score(
       QueuedTicket queued, EndpointState endpoint, boolean isScarce, long nowNanos) {
     return PlacementScore.of(
@@ -461,8 +508,7 @@
   private boolean isBusyEndpointBetter(QueuedTicket queued, PlacementScore.Fit fit, long nowNanos) {
     long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
     return fastest
-        .filter(
-            endpoint -> !queued.ticket().excludedEndpointIds().contains(endpoint.endpoint().id()))
+        .filter(endpoint -> !isExcluded(queued, endpoint, nowNanos))
         .filter(
             endpoint ->
                 score(queued, endpoint, /* isScarce= */ false, laterNanos).fit().compareTo(fit) < 0)
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/Ticket.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/Ticket.java
@@ -43,4 +43,24 @@
   public Ticket {
     excludedEndpointIds = Set.copyOf(excludedEndpointIds);
   }
+
+  /** Returns this ticket with another judgement of the length of its answer. */
+  Ticket withLong(boolean newIsLong) {
+    return new Ticket(
+        number,
+        routeName,
+        priority,
+        newIsLong,
+        size,
+        promptPrefix,
+        goalMillis,
+        patienceMillis,
+        deadlineMillis,
+        gapGoalMillis,
+        waitedMillis,
+        hasBeenSent,
+        isContinuation,
+        isCallerRetry,
+        excludedEndpointIds);
+  }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/relay/FleetScheduling.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/FleetScheduling.java
@@ -145,7 +145,7 @@
     entry.unusableEndpoints.add(decision.endpointId());
     client.onEnded(
         new EndedRun(
-            decision.endpointId(), entry.number, AttemptOutcome.CANCELLED, Optional.empty()));
+            decision.endpointId(), entry.number, AttemptOutcome.HELD_BACK, Optional.empty()));
     if (!submit(entry.request)) {
       placeLocally(List.of(entry));
     }
@@ -197,6 +197,7 @@
 
   private void placeLocally(List<Entry> affected) {
     for (Entry entry : affected) {
+      entry.request.markHandedOver();
       dispatcher.submit(entry.request, clock.nanoTime());
     }
     onChanged.run();
--- a/buckthornferry/src/test/java/org/buckthornferry/fleetqueue/FleetQueueTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleetqueue/FleetQueueTest.java
@@ -4,6 +4,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -60,6 +61,16 @@
       long goalMillis,
       boolean hasBeenSent,
       PromptPrefix prefix) {
+    return submit(instanceId, routePriority, goalMillis, hasBeenSent, prefix, 0);
+  }
+
+  private long submit(
+      String instanceId,
+      int routePriority,
+      long goalMillis,
+      boolean hasBeenSent,
+      PromptPrefix prefix,
+      long expectedTokens) {
     lastNumber++;
     queue.submit(
         instanceId,
@@ -69,7 +80,7 @@
             "route" + routePriority,
             new Priority(0, routePriority),
             false,
-            new RequestSize(1_000 + prefix.tokens(), 2_000, 0),
+            new RequestSize(1_000 + prefix.tokens(), 2_000, expectedTokens),
             prefix,
             goalMillis,
             PATIENCE_MILLIS,
@@ -186,6 +197,31 @@
     assertThat(decide()).isEmpty();
   }
 
+  /** Guards against long answers that are never first because short ones keep coming. */
+  @Test
+  void longAnswersOfARouteKeepAGuaranteedShare() {
+    setEndpoints(endpoint("e", 1));
+    long running = submit("a", 0, GOAL_MILLIS, false, PromptPrefix.NONE, 100);
+    decide();
+    Set<Long> longTickets = new HashSet<>();
+    for (int i = 0; i < 60; i++) {
+      boolean isLong = i >= 30 && i % 3 == 0;
+      long number = submit("a", 0, GOAL_MILLIS, false, PromptPrefix.NONE, isLong ? 1_000 : 100);
+      if (isLong) {
+        longTickets.add(number);
+      }
+    }
+    int longGrants = 0;
+    // The short answers come first until they have their guaranteed share too.
+    for (int i = 0; i < 20; i++) {
+      pass(20);
+      end("a", running, "e", AttemptOutcome.COMPLETED);
+      running = granted().get(0);
+      longGrants += longTickets.contains(running) ? 1 : 0;
+    }
+    assertThat(longGrants).isAtLeast(1);
+  }
+
   /** Guards against slots that stay occupied when an instance or a message is lost. */
   @Test
   void freesWhatAnInstanceDoesNotRunAnyMore() {
