--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/EndpointState.java
@@ -20,10 +20,17 @@
   private static final long MAX_FAILURE_BACKOFF_MILLIS = 3_000;
 
   /**
-   * How long an answer excuses a single failure, in milliseconds. One lost connection among many
-   * answers says little, and a service with three endpoints cannot spare one for it.
+   * An answer excuses a single failure for so many mean intervals between answers. One lost
+   * connection among many answers says little, and may be the fault of one instance's network; an
+   * endpoint that has ended answers nobody.
    */
-  private static final long TRUST_MILLIS = 1_000;
+  private static final double TRUST_INTERVALS = 4;
+
+  private static final long MIN_TRUST_MILLIS = 100;
+  private static final long MAX_TRUST_MILLIS = 1_000;
+
+  /** The weight of a new interval between answers in their mean. */
+  private static final double INTERVAL_WEIGHT = 0.1;
 
   /** The first backoff after a rejection for lack of a slot, in milliseconds. */
   private static final long FIRST_FULL_BACKOFF_MILLIS = 8;
@@ -71,12 +78,13 @@
   private int consecutiveFailures;
   private long backoffUntilNanos;
   private long answeredNanos;
+  private double answerIntervalMillis = MAX_TRUST_MILLIS / TRUST_INTERVALS;
   private double errorShare;
 
   EndpointState(Endpoint endpoint, long nowNanos) {
     this.endpoint = endpoint;
     this.backoffUntilNanos = nowNanos;
-    this.answeredNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(TRUST_MILLIS);
+    this.answeredNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(MAX_TRUST_MILLIS);
   }
 
   Endpoint endpoint() {
@@ -187,6 +195,8 @@
   }
 
   private void onAnswer(String instanceId, long nowNanos) {
+    double intervalMillis = (nowNanos - answeredNanos) / 1e6;
+    answerIntervalMillis += INTERVAL_WEIGHT * (intervalMillis - answerIntervalMillis);
     answeredNanos = nowNanos;
     consecutiveFailures = 0;
     consecutiveFull = 0;
@@ -196,7 +206,7 @@
   private void onFailure(long nowNanos) {
     errorShare += ERROR_WEIGHT * (1 - errorShare);
     consecutiveFailures++;
-    boolean isTrusted = nowNanos - answeredNanos < TimeUnit.MILLISECONDS.toNanos(TRUST_MILLIS);
+    boolean isTrusted = nowNanos - answeredNanos < TimeUnit.MILLISECONDS.toNanos(trustMillis());
     if (consecutiveFailures == 1 && isTrusted) {
       return;
     }
@@ -207,6 +217,11 @@
         nowNanos);
   }
 
+  private long trustMillis() {
+    long millis = (long) (TRUST_INTERVALS * answerIntervalMillis);
+    return Math.max(MIN_TRUST_MILLIS, Math.min(MAX_TRUST_MILLIS, millis));
+  }
+
   private void backOff(long millis, long nowNanos) {
     long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
     backoffUntilNanos = Math.max(backoffUntilNanos, untilNanos);
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -41,6 +41,12 @@
    */
   private static final int MAX_SKIPPED_PER_ROUTE = 4;
 
+  /**
+   * Requests that wait at an endpoint without reservations, as a share of its slots. Their wait is
+   * a third of a run, and slots are not idle for the round trips between two requests.
+   */
+  private static final double WAITING_SHARE = 0.34;
+
   /** The expected time until a slot becomes free at a busy endpoint, in milliseconds. */
   private static final long SLOT_WAIT_MILLIS = 100;
 
@@ -50,7 +56,7 @@
    */
   private static final long MIN_AWAITED_TOKENS = 4_000;
 
-  /** The share of the slots below which free ones count as scarce. */
+  /** The share of the endpoints below which those with a free slot count as scarce. */
   private static final double SCARCE_SHARE = 0.1;
 
   /** How long a grant counts as running although its instance does not state it yet. */
@@ -73,6 +79,7 @@
 
   private final CapacityModel capacities;
   private final VersionPolicy versions;
+  private final boolean hasReservations;
   private final RandomGenerator random;
   private final Map<String, EndpointState> endpoints = new HashMap<>();
   private final Map<TicketKey, QueuedTicket> tickets = new HashMap<>();
@@ -112,6 +119,21 @@
 
   /** Creates a queue without endpoints. */
   public FleetQueue(CapacityModel capacities, VersionPolicy versions, RandomGenerator random) {
+    this(capacities, versions, /* hasReservations= */ true, random);
+  }
+
+  /**
+   * Creates a queue without endpoints.
+   *
+   * @param hasReservations whether endpoints reserve slots; others let some requests wait, which
+   *     keeps them busy while messages are under way
+   */
+  public FleetQueue(
+      CapacityModel capacities,
+      VersionPolicy versions,
+      boolean hasReservations,
+      RandomGenerator random) {
+    this.hasReservations = hasReservations;
     this.capacities = capacities;
     this.versions = versions;
     this.random = random;
@@ -420,7 +442,9 @@
   }
 
   private boolean hasRoom(EndpointState endpoint, long nowNanos) {
-    return endpoint.running() < endpoint.estimate().limit() && isUsable(endpoint, nowNanos);
+    int limit = endpoint.estimate().limit();
+    int room = hasReservations ? limit : limit + (int) Math.ceil(WAITING_SHARE * limit);
+    return endpoint.running() < room && isUsable(endpoint, nowNanos);
   }
 
   private boolean isUsable(EndpointState endpoint, long nowNanos) {
@@ -433,7 +457,7 @@
   /** Returns the best free endpoint, or empty when a busy one is worth waiting for. */
   private Optional<EndpointState> choose(
       QueuedTicket queued, List<EndpointState> free, long nowNanos) {
-    boolean isScarce = free.size() < SCARCE_SHARE * endpoints.size() || tickets.size() > 1;
+    boolean isScarce = free.size() < SCARCE_SHARE * endpoints.size();
     EndpointState best = null;
     PlacementScore bestScore = null;
     for (EndpointState endpoint : free) {
--- a/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/node/RelayNode.java
@@ -22,6 +22,7 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.catalog.Catalog;
+import org.buckthornferry.catalog.Service;
 import org.buckthornferry.concurrency.CapacityModel;
 import org.buckthornferry.concurrency.LimitPolicy;
 import org.buckthornferry.control.Blackboard;
@@ -375,6 +376,11 @@
     return new FleetQueue(
         new CapacityModel(LimitPolicy.LEARNED),
         rollouts.policy(serviceName),
+        blackboard
+            .read(Catalog.ENTRY)
+            .service(serviceName)
+            .flatMap(Service::reservations)
+            .isPresent(),
         new SplittableRandom());
   }
 
