Make the fleet tests compile again

VirtualInstance called PeerMessageKind.isLongPoll(), which was replaced by lane(), so that no test of the module compiled.

--- a/buckthornferry/src/test/java/org/buckthornferry/fleet/VirtualInstance.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/fleet/VirtualInstance.java
@@ -102,7 +102,7 @@
 
   private CompletableFuture<byte[]> answer(PeerMessageKind kind, byte[] message) {
     try {
-      return kind.isLongPoll()
+      return kind.lane() == PeerMessageKind.Lane.LONG_POLL
           ? feed.answer(message)
           : CompletableFuture.completedFuture(handlers.get(kind).handle(message));
     } catch (IOException e) {
