Count instances whose registration has ended in the usage reports

A new holder totalled a window from the few registered instances after registrations were lost, and took it for complete. The instances needed, their number and the true time now include those whose registration ended recently. One that is neither registered nor has a known span misses the whole window.

waitsForInstancesWhoseRegistrationHasEnded fails without the change (a count out of tolerance) and passes with it.

--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageCollector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageCollector.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.buckthornferry.fleet.FleetView;
 
 /**
  * Adds up what the instances have counted, and takes the median of their wall clocks as the true
@@ -113,19 +114,21 @@
 
   /**
    * Returns the median of the wall clocks at a time of the monotonic clock, in milliseconds since
-   * 1970; empty while fewer than half of the listed instances are known.
+   * 1970; empty while fewer than half of the instances are known.
+   *
+   * @param instanceIds the registered instances and those that may only have lost the store
    */
-  OptionalLong trueMillisAt(long nowNanos, Collection<String> listed) {
+  OptionalLong trueMillisAt(long nowNanos, Collection<String> instanceIds) {
     Map<String, Sender> latest = new HashMap<>();
     for (Sender sender : senders.values()) {
-      if (listed.contains(sender.instanceId)) {
+      if (instanceIds.contains(sender.instanceId)) {
         latest.merge(
             sender.instanceId,
             sender,
             (one, other) -> one.heardNanos - other.heardNanos >= 0 ? one : other);
       }
     }
-    if (latest.isEmpty() || 2 * latest.size() < listed.size()) {
+    if (latest.isEmpty() || 2 * latest.size() < instanceIds.size()) {
       return OptionalLong.empty();
     }
     List<Long> offsets = new ArrayList<>();
@@ -136,13 +139,14 @@
   }
 
   /**
-   * Returns what is known of the runs of a window.
+   * Returns what is known of the runs of a window. The counts of instances whose registration has
+   * ended are needed too: all registrations end while the store is away, and the instances go on.
    *
-   * @param listed the registered instances
+   * @param fleet the instances whose counts are needed
    * @param knowsEarlierMillis the true time since which this instance would have heard of a process
    *     that has ended; before it, an instance may have run without a trace
    */
-  Total total(long window, Collection<String> listed, long knowsEarlierMillis) {
+  Total total(long window, FleetView fleet, long knowsEarlierMillis) {
     long beginMillis = window * windowMillis;
     final long endMillis = beginMillis + windowMillis;
     Map<String, Long> counts = new TreeMap<>();
@@ -159,17 +163,17 @@
     counts.values().removeIf(count -> count == 0);
     long missingMillis = 0;
     Set<String> instanceIds = new HashSet<>(spans.keySet());
-    instanceIds.addAll(listed);
+    instanceIds.addAll(fleet.instanceIds());
     for (String id : instanceIds) {
       missingMillis +=
           missingMillis(
               spans.getOrDefault(id, List.of()),
               beginMillis,
               endMillis,
-              listed.contains(id),
+              fleet.listed().containsKey(id),
               knowsEarlierMillis);
     }
-    int instances = Math.max(1, listed.size());
+    int instances = Math.max(1, fleet.instanceIds().size());
     return new Total(counts, missingMillis / (double) (windowMillis * instances));
   }
 
@@ -198,6 +202,8 @@
       reachedMillis = Math.max(reachedMillis, fromMillis);
     }
     long restMillis = endMillis - reachedMillis;
-    return missingMillis + (isListed ? restMillis : Math.min(PERIOD_MILLIS, restMillis));
+    // An instance that is not registered and has sent nothing may run, unknown to this one.
+    boolean hasEnded = !isListed && !spans.isEmpty();
+    return missingMillis + (hasEnded ? Math.min(PERIOD_MILLIS, restMillis) : restMillis);
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
@@ -172,12 +172,12 @@
     long nowNanos = clock.nanoTime();
     collector.accept(UsageMessage.decode(message), nowNanos);
     OptionalLong trueMillis =
-        tenure.isPresent() ? collector.trueMillisAt(nowNanos, listed()) : OptionalLong.empty();
+        tenure.isPresent() ? collector.trueMillisAt(nowNanos, fleet().instanceIds()) : OptionalLong.empty();
     return new UsageMessage.Reply(process, trueMillis).encode();
   }
 
-  private Set<String> listed() {
-    return blackboard.read(FleetView.ENTRY).listed().keySet();
+  private FleetView fleet() {
+    return blackboard.read(FleetView.ENTRY);
   }
 
   /** Passes the counts on, and schedules the next time. */
@@ -199,7 +199,7 @@
     long nowNanos = clock.nanoTime();
     collector.accept(sender.message(), nowNanos);
     collector
-        .trueMillisAt(nowNanos, listed())
+        .trueMillisAt(nowNanos, fleet().instanceIds())
         .ifPresent(trueMillis -> sender.setTrueMillis(nowNanos, trueMillis));
   }
 
@@ -208,7 +208,7 @@
     if (tenure.isEmpty()) {
       return holder.holderId().filter(id -> !id.equals(selfId));
     }
-    Set<String> others = new TreeSet<>(listed());
+    Set<String> others = new TreeSet<>(fleet().listed().keySet());
     others.remove(selfId);
     return Rendezvous.first(StoreDutyHolder.key(SUBJECT), others);
   }
@@ -283,7 +283,7 @@
       begun.add(window);
       return;
     }
-    UsageCollector.Total total = collector.total(window, listed(), knowsEarlierMillis());
+    UsageCollector.Total total = collector.total(window, fleet(), knowsEarlierMillis());
     double missing = total.missingShare();
     long ageMillis = nowMillis - endMillis;
     boolean isComplete = missing <= COMPLETE_TOLERANCE_SHARE * bounds.usageTolerance();
--- a/buckthornferry/src/test/java/org/buckthornferry/duty/UsageReporterTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/duty/UsageReporterTest.java
@@ -260,4 +260,29 @@
     time.advance(30_000);
     assertReported(0, 8, BOUNDS.usageTolerance());
   }
+
+  /**
+   * Guards against a report of the few instances that are still registered: each instance lists
+   * only itself after all registrations have ended, and the others go on.
+   */
+  @Test
+  void waitsForInstancesWhoseRegistrationHasEnded() {
+    startAll(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+    time.advance(30_000);
+    String holder = holderId();
+    members.get(holder).node.kill();
+    members.forEach(
+        (self, known) -> {
+          Map<String, InetSocketAddress> lapsed = new HashMap<>();
+          members.forEach((id, other) -> lapsed.put(id, other.address));
+          lapsed.remove(self);
+          known.fleet.accept(new FleetView(Map.of(self, known.address), lapsed, Map.of()));
+        });
+    // Then the instances have registered again, and the entry of the dead one is dropped.
+    time.advance(10_000);
+    members.remove(holder);
+    list();
+    time.advance(20_000);
+    assertReported(0, 9, BOUNDS.usageTolerance());
+  }
 }
