Send a usage report 500 ms after it is written

A restored store could lose a report that only its writer had seen, and a successor then sent a different one.

--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
@@ -48,6 +48,13 @@
   /** Mean delay before a failed write of a report is repeated, in milliseconds. */
   private static final long WRITE_RETRY_MILLIS = 400;
 
+  /**
+   * Time between the write of a report and its first sending, in milliseconds. The copies of the
+   * other instances have the report by then; a restored store could otherwise lose a report that
+   * only its writer has seen and the platform has accepted.
+   */
+  private static final long SPREAD_MILLIS = 500;
+
   /**
    * The share of the time until a report is due after which it is written if no count is missing.
    * The rest suffices for a successor: 3 s until the lease ends and 1 s for the counts.
@@ -340,7 +347,7 @@
             return;
           }
           if (failure == null) {
-            send(fencingToken, window, report);
+            sendWhenSpread(fencingToken, window, report);
             return;
           }
           LOG.infof("usage.not_written window=%d reason=\"%s\"", window, failure.getMessage());
@@ -368,7 +375,7 @@
                       .findFirst()
                   : Optional.empty();
           if (written.isPresent()) {
-            send(fencingToken, window, written.get().value());
+            sendWhenSpread(fencingToken, window, written.get().value());
           } else {
             beginAgain(fencingToken, window);
           }
@@ -385,6 +392,17 @@
         (long) (WRITE_RETRY_MILLIS * (0.75 + 0.5 * random.nextDouble())));
   }
 
+  /** Sends a report that was written just now, when the other instances have seen it. */
+  private void sendWhenSpread(long fencingToken, long window, byte[] report) {
+    scheduler.schedule(
+        () -> {
+          if (isCurrent(fencingToken)) {
+            send(fencingToken, window, report);
+          }
+        },
+        SPREAD_MILLIS);
+  }
+
   private void send(long fencingToken, long window, byte[] report) {
     Map<String, Long> counts;
     try {
