--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
@@ -179,7 +179,9 @@
     long nowNanos = clock.nanoTime();
     collector.accept(UsageMessage.decode(message), nowNanos);
     OptionalLong trueMillis =
-        tenure.isPresent() ? collector.trueMillisAt(nowNanos, fleet().instanceIds()) : OptionalLong.empty();
+        tenure.isPresent()
+            ? collector.trueMillisAt(nowNanos, fleet().instanceIds())
+            : OptionalLong.empty();
     return new UsageMessage.Reply(process, trueMillis).encode();
   }
 
@@ -288,6 +290,9 @@
     if (endMillis <= startedMillis) {
       // An earlier process may have sent a report that a restored store has lost.
       begun.add(window);
+      LOG.warnf(
+          "usage.omitted window=%d reason=\"the window ended before this process started\"",
+          window);
       return;
     }
     UsageCollector.Total total = collector.total(window, fleet(), knowsEarlierMillis());
