Rank candidates over all instances that may run

After all registrations had ended, each instance listed only itself, had rank 0, and all tried at once. A lease that is not granted doubles the retry delay up to 5 s.

--- a/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/StoreDutyHolder.java
@@ -1,9 +1,9 @@
 package org.buckthornferry.duty;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -46,6 +46,12 @@
   /** Mean delay before a failed call to the store is repeated, in milliseconds. */
   private static final long RETRY_MILLIS = 300;
 
+  /**
+   * Largest mean delay before another try after a lease was not granted, in milliseconds. The delay
+   * doubles from {@link #RETRY_MILLIS}, because all instances try while the store is away.
+   */
+  private static final long MAX_GRANT_RETRY_MILLIS = 5_000;
+
   /** Mean delay before another try after a write that the store declined, in milliseconds. */
   private static final long WRITE_RETRY_MILLIS = 1_000;
 
@@ -79,6 +85,7 @@
   private Optional<Tenure> tenure = Optional.empty();
   private String lastValue = "";
   private long notBeforeNanos;
+  private long grantRetryMillis = RETRY_MILLIS;
   private boolean mayTakeOverAtOnce;
 
   private enum Phase {
@@ -313,7 +320,8 @@
   }
 
   private long rankDelayMillis() {
-    Set<String> candidates = blackboard.read(FleetView.ENTRY).listed().keySet();
+    // After all registrations have ended, each instance lists only itself.
+    List<String> candidates = blackboard.read(FleetView.ENTRY).instanceIds();
     int rank =
         candidates.contains(selfId) ? Rendezvous.rank(key, selfId, candidates) : MAX_CANDIDATE_RANK;
     return jittered(CANDIDATE_STEP_MILLIS / 4)
@@ -340,7 +348,9 @@
             return;
           }
           if (failure != null) {
-            abandon("no lease: " + failure.getMessage(), jittered(RETRY_MILLIS));
+            long delayMillis = Math.min(MAX_GRANT_RETRY_MILLIS, jittered(grantRetryMillis));
+            grantRetryMillis = Math.min(MAX_GRANT_RETRY_MILLIS, 2 * grantRetryMillis);
+            abandon("no lease: " + failure.getMessage(), delayMillis);
           } else if (lease.era() != current.era) {
             abandon("the store was restored", terms.ttlMillis());
           } else {
@@ -423,6 +433,7 @@
     phase = Phase.HOLDING;
     attempt = Optional.empty();
     lastValue = tried.value;
+    grantRetryMillis = RETRY_MILLIS;
     mayTakeOverAtOnce = false;
     Tenure gained = new Tenure(lease, since, tokens.applyAsLong(since), tried.sentNanos);
     tenure = Optional.of(gained);
