Count a stream that moved after sending only a comment

The head was forwarded with the comment, so that the first event of the next endpoint was taken for a continuation. No test of its own; RelayedRequest is compiled only.

--- a/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/relay/RelayedRequest.java
@@ -648,7 +648,6 @@
     private final Placement placement;
     private final long sentNanos = environment.clock().nanoTime();
     private final EventSplitter splitter = new EventSplitter();
-    private final boolean isContinuation = headForwarded || lastEventId.isPresent();
     private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream(256);
     private HttpCall call = HttpCall.NONE;
     private ResponseHead head;
@@ -910,7 +909,7 @@
       firstEventNanos = environment.clock().nanoTime();
       double millis = (firstEventNanos - sentNanos) / 1e6;
       queue.onFirstEvent(placement, millis);
-      if (!isContinuation) {
+      if (request.lastEventId().isEmpty()) {
         countRun(firstEventNanos);
       }
       environment.metrics().firstEventMillis.update(elapsedMillis());
