Let a complete usage message replace earlier counts

Windows that a complete message left out kept their counts, so that runs could count in two windows.

--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageCollector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageCollector.java
@@ -92,6 +92,10 @@
     boolean isUsable = message.basis() == 0 || message.basis() == process;
     if (message.span().isKnown() && isUsable) {
       sender.span = message.span();
+      if (message.basis() == 0) {
+        // A window that a complete message leaves out has no runs any more.
+        sender.counts.clear();
+      }
       sender.counts.putAll(message.counts());
       long oldest = Math.floorDiv(message.span().toMillis() - retentionMillis, windowMillis);
       sender.counts.headMap(oldest).clear();
