--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageMessage.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageMessage.java
@@ -7,6 +7,7 @@
 import org.buckthornferry.fleet.MessageCodec;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
 /**
@@ -74,6 +75,8 @@
             unpacker.tryUnpackNil()
                 ? OptionalLong.empty()
                 : OptionalLong.of(unpacker.unpackLong()));
+      } catch (MessagePackException e) {
+        throw new IOException("malformed reply to a usage message", e);
       }
     }
   }
@@ -113,6 +116,8 @@
         counts.put(unpacker.unpackLong(), readCounts(unpacker));
       }
       return new UsageMessage(senderId, process, sequence, basis, wallClockMillis, span, counts);
+    } catch (MessagePackException e) {
+      throw new IOException("malformed usage message", e);
     }
   }
 
@@ -124,6 +129,8 @@
   static Map<String, Long> decodeReport(byte[] report) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(report)) {
       return readCounts(unpacker);
+    } catch (MessagePackException e) {
+      throw new IOException("malformed usage report", e);
     }
   }
 
