Give reports of counts a connection of their own

A call with a timeout of 120 ms closes its connection and ended USAGE and DEMAND calls on it. No test of its own.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleet/PeerMessageKind.java
@@ -42,7 +42,8 @@
       case CHANGES -> Lane.LONG_POLL;
       case QUEUE -> Lane.QUEUE;
       case QUEUE_DECISIONS -> Lane.QUEUE_DECISIONS;
-      case VIEW, ALLOWANCE, CRASHES, MOVE, LIMIT, PARTS, USAGE, DEMAND -> Lane.DEFAULT;
+      case VIEW, ALLOWANCE, CRASHES, MOVE, LIMIT, PARTS -> Lane.DEFAULT;
+      case USAGE, DEMAND -> Lane.COUNTS;
     };
   }
 
@@ -54,7 +55,9 @@
     /** Short timeouts of other calls must not end those that all waiting requests depend on. */
     QUEUE,
     /** Two instances may coordinate queues of each other; a lost push must not end their calls. */
-    QUEUE_DECISIONS
+    QUEUE_DECISIONS,
+    /** Other calls time out after 120 ms, which must not end the periodic reports of counts. */
+    COUNTS
   }
 
   byte code() {
