Check the fencing token when a call to the platform is written

The token was checked before the connection was opened. A call could be sent after the lease had expired if connecting took longer than thaw_ms or the process was suspended meanwhile. A response listener is now asked on the event loop directly before the request is written, and DutyCalls passes the check of the token. A call that may no longer be sent ends as not sent; its connection is kept.

doesNotSendARequestThatBecameInvalidWhileConnecting fails without the check in PendingCall and passes with it.

--- a/buckthornferry/src/main/java/org/buckthornferry/duty/DutyCalls.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/DutyCalls.java
@@ -5,9 +5,10 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongFunction;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.buckthornferry.util.Completions;
 import org.buckthornferry.util.MonotonicClock;
@@ -41,7 +42,14 @@
 
   /** Makes one call with a token. */
   @FunctionalInterface
-  public interface Call extends LongFunction<CompletableFuture<DutyReply>> {}
+  public interface Call {
+    /**
+     * Makes the call.
+     *
+     * @param maySend whether the token is still valid; to be asked directly before the call is sent
+     */
+    CompletableFuture<DutyReply> make(long fencingToken, BooleanSupplier maySend);
+  }
 
   /** Creates the calls of a duty and registers its metrics. */
   public DutyCalls(
@@ -81,7 +89,7 @@
   /** Makes a call once, if this instance may act. The future never fails. */
   public CompletableFuture<DutyReply> callOnce(DutyHolder holder, String what, Call call) {
     CompletableFuture<DutyReply> result = new CompletableFuture<>();
-    var token = holder.fencingToken();
+    Optional<Long> token = holder.fencingToken();
     if (token.isEmpty()) {
       result.complete(DutyReply.NOT_SENT);
       return result;
@@ -89,7 +97,7 @@
     calls.inc();
     long sentNanos = clock.nanoTime();
     Completions.onComplete(
-        call.apply(token.get()),
+        call.make(token.get(), () -> holder.fencingToken().equals(token)),
         (known, failure) -> {
           DutyReply reply = failure == null ? known : DutyReply.UNKNOWN;
           if (reply == DutyReply.ACCEPTED) {
--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
@@ -425,7 +425,7 @@
             holder,
             "window " + window,
             nowNanos + TimeUnit.MILLISECONDS.toNanos(leftMillis),
-            token -> platform.reportUsage(token, window, counts)),
+            (token, maySend) -> platform.reportUsage(token, maySend, window, counts)),
         (reply, failure) -> {
           if (reply == DutyReply.ACCEPTED) {
             LOG.infof("usage.reported window=%d customers=%d", window, counts.size());
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpConnector.java
@@ -34,6 +34,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import jdk.net.ExtendedSocketOptions;
 
@@ -262,6 +263,29 @@
         timeoutMillis);
   }
 
+  /**
+   * Sends a request that may become invalid before it is sent, and returns the complete response.
+   *
+   * @param maySend whether the request may still be sent; asked on the connection's event loop
+   *     directly before the request is written
+   */
+  public CompletableFuture<HttpReply> exchange(
+      InetSocketAddress address,
+      String method,
+      String pathAndQuery,
+      Map<String, String> headers,
+      byte[] body,
+      BooleanSupplier maySend,
+      long timeoutMillis) {
+    return exchange(
+        (fields, listener) ->
+            send(address, method, pathAndQuery, fields, body, Reuse.FRESH, listener),
+        address,
+        headers,
+        new CollectingListener(fields -> true, MAX_BUFFERED_BYTES, maySend),
+        timeoutMillis);
+  }
+
   /**
    * Sends a request and returns the complete response, with explicit connection reuse.
    *
@@ -302,7 +326,16 @@
       Predicate<HttpHeaders> isMatch,
       int maxBodyBytes,
       long timeoutMillis) {
-    CollectingListener listener = new CollectingListener(isMatch, maxBodyBytes);
+    return exchange(
+        sender, host, headers, new CollectingListener(isMatch, maxBodyBytes), timeoutMillis);
+  }
+
+  private CompletableFuture<HttpReply> exchange(
+      Sender sender,
+      InetSocketAddress host,
+      Map<String, String> headers,
+      CollectingListener listener,
+      long timeoutMillis) {
     HttpCall call = sender.send(fields(host, headers), listener);
     ScheduledFuture<?> timeout =
         bootstrap
--- a/buckthornferry/src/main/java/org/buckthornferry/http/HttpResponseListener.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/HttpResponseListener.java
@@ -21,6 +21,14 @@
     return true;
   }
 
+  /**
+   * Returns whether the request may still be sent. Asked directly before the request is written:
+   * opening the connection takes time, and the process may be suspended meanwhile.
+   */
+  default boolean maySend() {
+    return true;
+  }
+
   /** Called when the head of the response has been received. */
   void onHead(int status, HttpHeaders headers);
 
--- a/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/http/PendingCall.java
@@ -79,6 +79,15 @@
       listener.onFailure(new IOException("connection closed before the request was sent"), false);
       return;
     }
+    if (!listener.maySend()) {
+      boolean isFirst = markEnded();
+      request.release();
+      releaser.release(newChannel, OptionalLong.empty());
+      if (isFirst) {
+        listener.onFailure(new IOException("the request may no longer be sent"), false);
+      }
+      return;
+    }
     ClientConnection connection = newChannel.pipeline().get(ClientConnection.class);
     long number = connection.begin(this, request.method().equals(HttpMethod.HEAD));
     connectionLabel = ((InetSocketAddress) newChannel.localAddress()).getPort() + "#" + number;
--- a/buckthornferry/src/main/java/org/buckthornferry/scaling/ScalingController.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/scaling/ScalingController.java
@@ -357,9 +357,9 @@
         calls.callOnce(
             subject.holder,
             "desired=" + order.desired,
-            token ->
+            (token, maySend) ->
                 platform.orderEndpoints(
-                    token, order.serviceName, order.failureDomain, order.desired)),
+                    token, maySend, order.serviceName, order.failureDomain, order.desired)),
         // A repetition of an invalid order has the same result; a changed one is sent anyway.
         (reply, failure) ->
             state.onEnded(reply == DutyReply.ACCEPTED || reply == DutyReply.INVALID));
--- a/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
+++ b/buckthornferry/src/test/java/org/buckthornferry/http/HttpConnectorTest.java
@@ -24,7 +24,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.buckthornferry.http.HttpConnector.Reuse;
 import org.junit.jupiter.api.AfterEach;
@@ -102,6 +104,32 @@
     assertThat(connections.get()).isEqualTo(2);
   }
 
+  /** Guards against a request that is sent although it became invalid while connecting. */
+  @Test
+  void doesNotSendARequestThatBecameInvalidWhileConnecting() {
+    response = RESPONSE_HEAD + "Keep-Alive: timeout=20\r\n\r\nok";
+    AtomicBoolean maySend = new AtomicBoolean(true);
+    // The event loop cannot complete the connection before this task has ended.
+    CompletableFuture<HttpReply> reply =
+        CompletableFuture.supplyAsync(
+                () -> {
+                  CompletableFuture<HttpReply> pending = exchange(maySend::get);
+                  maySend.set(false);
+                  return pending;
+                },
+                loops)
+            .thenCompose(pending -> pending);
+    CompletionException failed = assertThrows(CompletionException.class, reply::join);
+    assertThat(((HttpFailure) failed.getCause()).mayHaveReachedServer()).isFalse();
+    // The connection was not used for the request and is kept.
+    assertThat(exchange(() -> true).join().status()).isEqualTo(200);
+    assertThat(connections.get()).isEqualTo(1);
+  }
+
+  private CompletableFuture<HttpReply> exchange(BooleanSupplier maySend) {
+    return connector.exchange(address(server), "POST", "/", Map.of(), new byte[0], maySend, 5_000);
+  }
+
   /** Guards against a late copy of the first response that is taken for the second one. */
   @Test
   void sendsARequestIdOnceOnAConnection() {
