--- a/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/duty/UsageReporter.java
@@ -48,6 +48,13 @@
   /** Mean delay before a failed write of a report is repeated, in milliseconds. */
   private static final long WRITE_RETRY_MILLIS = 400;
 
+  /**
+   * Time between the write of a report and its first sending, in milliseconds. The copies of the
+   * other instances have the report by then; a restored store could otherwise lose a report that
+   * only its writer has seen and the platform has accepted.
+   */
+  private static final long SPREAD_MILLIS = 500;
+
   /**
    * The share of the time until a report is due after which it is written if no count is missing.
    * The rest suffices for a successor: 3 s until the lease ends and 1 s for the counts.
@@ -172,12 +179,14 @@
     long nowNanos = clock.nanoTime();
     collector.accept(UsageMessage.decode(message), nowNanos);
     OptionalLong trueMillis =
-        tenure.isPresent() ? collector.trueMillisAt(nowNanos, listed()) : OptionalLong.empty();
+        tenure.isPresent()
+            ? collector.trueMillisAt(nowNanos, fleet().instanceIds())
+            : OptionalLong.empty();
     return new UsageMessage.Reply(process, trueMillis).encode();
   }
 
-  private Set<String> listed() {
-    return blackboard.read(FleetView.ENTRY).listed().keySet();
+  private FleetView fleet() {
+    return blackboard.read(FleetView.ENTRY);
   }
 
   /** Passes the counts on, and schedules the next time. */
@@ -199,7 +208,7 @@
     long nowNanos = clock.nanoTime();
     collector.accept(sender.message(), nowNanos);
     collector
-        .trueMillisAt(nowNanos, listed())
+        .trueMillisAt(nowNanos, fleet().instanceIds())
         .ifPresent(trueMillis -> sender.setTrueMillis(nowNanos, trueMillis));
   }
 
@@ -208,7 +217,7 @@
     if (tenure.isEmpty()) {
       return holder.holderId().filter(id -> !id.equals(selfId));
     }
-    Set<String> others = new TreeSet<>(listed());
+    Set<String> others = new TreeSet<>(fleet().listed().keySet());
     others.remove(selfId);
     return Rendezvous.first(StoreDutyHolder.key(SUBJECT), others);
   }
@@ -281,9 +290,12 @@
     if (endMillis <= startedMillis) {
       // An earlier process may have sent a report that a restored store has lost.
       begun.add(window);
+      LOG.warnf(
+          "usage.omitted window=%d reason=\"the window ended before this process started\"",
+          window);
       return;
     }
-    UsageCollector.Total total = collector.total(window, listed(), knowsEarlierMillis());
+    UsageCollector.Total total = collector.total(window, fleet(), knowsEarlierMillis());
     double missing = total.missingShare();
     long ageMillis = nowMillis - endMillis;
     boolean isComplete = missing <= COMPLETE_TOLERANCE_SHARE * bounds.usageTolerance();
@@ -340,7 +352,7 @@
             return;
           }
           if (failure == null) {
-            send(fencingToken, window, report);
+            sendWhenSpread(fencingToken, window, report);
             return;
           }
           LOG.infof("usage.not_written window=%d reason=\"%s\"", window, failure.getMessage());
@@ -368,7 +380,7 @@
                       .findFirst()
                   : Optional.empty();
           if (written.isPresent()) {
-            send(fencingToken, window, written.get().value());
+            sendWhenSpread(fencingToken, window, written.get().value());
           } else {
             beginAgain(fencingToken, window);
           }
@@ -385,6 +397,17 @@
         (long) (WRITE_RETRY_MILLIS * (0.75 + 0.5 * random.nextDouble())));
   }
 
+  /** Sends a report that was written just now, when the other instances have seen it. */
+  private void sendWhenSpread(long fencingToken, long window, byte[] report) {
+    scheduler.schedule(
+        () -> {
+          if (isCurrent(fencingToken)) {
+            send(fencingToken, window, report);
+          }
+        },
+        SPREAD_MILLIS);
+  }
+
   private void send(long fencingToken, long window, byte[] report) {
     Map<String, Long> counts;
     try {
@@ -402,7 +425,7 @@
             holder,
             "window " + window,
             nowNanos + TimeUnit.MILLISECONDS.toNanos(leftMillis),
-            token -> platform.reportUsage(token, window, counts)),
+            (token, maySend) -> platform.reportUsage(token, maySend, window, counts)),
         (reply, failure) -> {
           if (reply == DutyReply.ACCEPTED) {
             LOG.infof("usage.reported window=%d customers=%d", window, counts.size());
