Forget the ticket numbers of a restarted instance

Its numbers begin at 1 again, so that its first tickets were not counted as arrivals and took over the judgement of earlier ones. Found by reading.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueCoordinator.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/QueueCoordinator.java
@@ -213,6 +213,7 @@
     if (member != null) {
       LOG.infof("queue.instance_restarted service=%s instance=%s", own.service, member.id);
       remove(own, member);
+      own.queue.forgetNumbers(member.id);
     }
     Member created = new Member(request.senderId(), request.senderIncarnation());
     created.calledNanos = nowNanos;
