Remove what nothing reads from the common queue

A reading of the whole change found: a count of tickets that nobody calls, two components of a score that nobody reads, two shares with the same value, and three copies of the score after a wait for a slot.

--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/ClassShares.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/ClassShares.java
@@ -9,12 +9,9 @@
  * length; each has a guaranteed share, so that priority starves none in a lasting overload.
  */
 final class ClassShares {
-  /** The guaranteed share of a route; priority decides beyond it. */
+  /** The guaranteed share of a class; priority decides beyond it. */
   private static final double GUARANTEED_SHARE = 0.2;
 
-  /** The guaranteed share of long answers, which occupy slots many times longer. */
-  private static final double GUARANTEED_LONG_SHARE = 0.2;
-
   /** The window of the counts, in milliseconds; longer than a burst, after which all are served. */
   private static final long WINDOW_MILLIS = 20_000;
 
@@ -27,14 +24,9 @@
   }
 
   private static final class Counts {
-    private final double guaranteedShare;
     private final SlidingWindowSum arrived = new SlidingWindowSum(WINDOW_MILLIS);
     private final SlidingWindowSum started = new SlidingWindowSum(WINDOW_MILLIS);
     private int waiting;
-
-    private Counts(boolean isLong) {
-      guaranteedShare = isLong ? GUARANTEED_LONG_SHARE : GUARANTEED_SHARE;
-    }
   }
 
   void onArrival(Ticket ticket, long nowNanos) {
@@ -55,7 +47,7 @@
 
   boolean isBelowGuarantee(Ticket ticket, long nowNanos) {
     Counts counts = counts(ticket);
-    return counts.started.sum(nowNanos) < counts.guaranteedShare * counts.arrived.sum(nowNanos) - 1;
+    return counts.started.sum(nowNanos) < GUARANTEED_SHARE * counts.arrived.sum(nowNanos) - 1;
   }
 
   /**
@@ -65,11 +57,10 @@
   boolean coversWaiting(Ticket ticket, long nowNanos) {
     Counts counts = counts(ticket);
     return counts.started.sum(nowNanos) + counts.waiting
-        <= counts.guaranteedShare * counts.arrived.sum(nowNanos);
+        <= GUARANTEED_SHARE * counts.arrived.sum(nowNanos);
   }
 
   private Counts counts(Ticket ticket) {
-    return classes.computeIfAbsent(
-        RequestClass.of(ticket), requestClass -> new Counts(requestClass.isLong));
+    return classes.computeIfAbsent(RequestClass.of(ticket), requestClass -> new Counts());
   }
 }
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/FleetQueue.java
@@ -208,17 +208,6 @@
     }
   }
 
-  /** Returns the number of tickets of an instance. */
-  public int ticketsOf(String instanceId) {
-    int count = 0;
-    for (TicketKey key : tickets.keySet()) {
-      if (key.instanceId().equals(instanceId)) {
-        count++;
-      }
-    }
-    return count;
-  }
-
   /** Records the end of an attempt, or of a grant that was not used. */
   public void onEnded(String instanceId, EndedRun run, long nowNanos) {
     final Grant grant = grants.remove(new TicketKey(instanceId, run.ticketNumber()));
@@ -475,16 +464,17 @@
     }
     boolean waits =
         bestScore.fit() == PlacementScore.Fit.GOOD
-            ? mayWaitFor(queued, best, nowNanos) && isPromptCachedElsewhere(queued, best, nowNanos)
+            ? fitAfterWait(queued, best, nowNanos) == PlacementScore.Fit.GOOD
+                && isPromptCachedElsewhere(queued, best, nowNanos)
             : isBusyEndpointBetter(queued, bestScore.fit(), nowNanos);
     return waits ? Optional.empty() : Optional.of(best);
   }
 
-  /** Returns whether an endpoint still keeps the goals after a wait for a slot elsewhere. */
-  private boolean mayWaitFor(QueuedTicket queued, EndpointState endpoint, long nowNanos) {
+  /** Returns which goals an endpoint keeps if its slot comes only after a wait. */
+  private PlacementScore.Fit fitAfterWait(
+      QueuedTicket queued, EndpointState endpoint, long nowNanos) {
     long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
-    return score(queued, endpoint, /* isScarce= */ false, laterNanos).fit()
-        == PlacementScore.Fit.GOOD;
+    return score(queued, endpoint, /* isScarce= */ false, laterNanos).fit();
   }
 
   /**
@@ -497,15 +487,11 @@
     if (prefix.tokens() < MIN_AWAITED_TOKENS || chosen.cachedTokens(prefix, nowNanos) > 0) {
       return false;
     }
-    long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
     for (EndpointState endpoint : endpoints.values()) {
-      boolean isCandidate =
-          endpoint.cachedTokens(prefix, nowNanos) > 0
-              && isUsable(endpoint, nowNanos)
-              && !isExcluded(queued, endpoint, nowNanos);
-      if (isCandidate
-          && score(queued, endpoint, /* isScarce= */ false, laterNanos).fit()
-              == PlacementScore.Fit.GOOD) {
+      if (endpoint.cachedTokens(prefix, nowNanos) > 0
+          && isUsable(endpoint, nowNanos)
+          && !isExcluded(queued, endpoint, nowNanos)
+          && fitAfterWait(queued, endpoint, nowNanos) == PlacementScore.Fit.GOOD) {
         return true;
       }
     }
@@ -530,12 +516,9 @@
 
   /** Returns whether the fastest endpoint keeps more goals, even after a wait for a slot. */
   private boolean isBusyEndpointBetter(QueuedTicket queued, PlacementScore.Fit fit, long nowNanos) {
-    long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(SLOT_WAIT_MILLIS);
     return fastest
         .filter(endpoint -> !isExcluded(queued, endpoint, nowNanos))
-        .filter(
-            endpoint ->
-                score(queued, endpoint, /* isScarce= */ false, laterNanos).fit().compareTo(fit) < 0)
+        .filter(endpoint -> fitAfterWait(queued, endpoint, nowNanos).compareTo(fit) < 0)
         .isPresent();
   }
 
--- a/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/PlacementScore.java
+++ b/buckthornferry/src/main/java/org/buckthornferry/fleetqueue/PlacementScore.java
@@ -10,11 +10,8 @@
  *
  * @param fit which goals are kept
  * @param cost compared among endpoints with the same fit
- * @param firstEventMillis the expected time until the first event
- * @param completeMillis the expected time until the answer is complete
  */
-record PlacementScore(Fit fit, double cost, double firstEventMillis, double completeMillis)
-    implements Comparable<PlacementScore> {
+record PlacementScore(Fit fit, double cost) implements Comparable<PlacementScore> {
   /** The safety factor for expected answer lengths; one in five answers exceeds it. */
   private static final double LENGTH_MARGIN_FACTOR = 1.5;
 
@@ -95,8 +92,7 @@
               + (hasConnection ? 0 : CONNECTION_MILLIS);
       cost = (isScarce ? NOT_WELL_ON_TIME_COST : 0) + millis / goodShare;
     }
-    return new PlacementScore(
-        isLost ? Fit.LOST : isGood ? Fit.GOOD : Fit.LATE, cost, firstEventMillis, completeMillis);
+    return new PlacementScore(isLost ? Fit.LOST : isGood ? Fit.GOOD : Fit.LATE, cost);
   }
 
   /** Returns the number of prompt tokens that an endpoint has to read. */
