--- a/review/standins-2/reviewkit/Worker.java
+++ b/review/standins-2/reviewkit/Worker.java
@@ -39,6 +39,7 @@
   private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
   private final AtomicInteger healthChecks = new AtomicInteger();
   private volatile long coldUntilNanos = System.nanoTime();
+  private volatile boolean isLeaving;
   private volatile boolean isStopped;
   private int sequence;
 
@@ -69,6 +70,31 @@
     thread.start();
   }
 
+  /**
+   * Makes a heartbeat whose write is done later and not answered, as the store may do; the next
+   * ones come at their times.
+   */
+  public synchronized void beatLate(long delayMillis) {
+    sequence++;
+    String entry = entry();
+    start(
+        () -> {
+          Run.sleep(delayMillis);
+          store.put("servers/" + id, entry);
+        });
+  }
+
+  /** Reports that it leaves, and says so in its answers; it goes on serving. */
+  public void drain() {
+    isLeaving = true;
+    register();
+  }
+
+  /** Returns the header field by which a leaving worker says so, or nothing. */
+  public String leavingField() {
+    return isLeaving ? "Server-Leaving: 1\r\n" : "";
+  }
+
   /** Becomes cold for a time, and says so in its entry and in its health responses. */
   public void becomeCold(long millis) {
     coldUntilNanos = System.nanoTime() + millis * 1_000_000;
@@ -93,17 +119,20 @@
 
   private synchronized void register() {
     sequence++;
-    store.put(
-        "servers/" + id,
-        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":%d,\"state\":\"ready\",\"cold_left_ms\":%d,\"sequence\":%d,\"born\":%d}"
-            .formatted(
-                service,
-                server.getLocalPort(),
-                zone,
-                capacity,
-                coldMillis(),
-                sequence,
-                bornMillis));
+    store.put("servers/" + id, entry());
+  }
+
+  private String entry() {
+    return "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":%d,\"state\":\"%s\",\"cold_left_ms\":%d,\"sequence\":%d,\"born\":%d}"
+        .formatted(
+            service,
+            server.getLocalPort(),
+            zone,
+            capacity,
+            isLeaving ? "draining" : "ready",
+            coldMillis(),
+            sequence,
+            bornMillis);
   }
 
   /** Ends the worker as a crash of its process does: it says nothing, and its channels break. */
