--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Exits with 1 if a cold worker got more requests than it bears, 0 if not, 2 if the case could not run.
+# Exits with 1 if a customer got more than its allowance, 0 if not, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx256m -Dreview.root=. -cp target/review-2 CheckCold review/10/record.txt
+exec java -Xmx256m -Dreview.root=. -cp target/review-2 CheckAllowance review/10/record.txt
