--- a/review/standins-2/reviewkit/Instance.java
+++ b/review/standins-2/reviewkit/Instance.java
@@ -173,13 +173,9 @@
     }
   }
 
-  /** Sends a signal to the process. */
-  public void signal(String name) throws IOException {
-    try {
-      new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  /** Sends SIGTERM to the process. */
+  public void terminate() {
+    process.destroy();
   }
 
   /** Ends the process with SIGKILL. */
--- a/review/standins-2/reviewkit/Run.java
+++ b/review/standins-2/reviewkit/Run.java
@@ -57,7 +57,7 @@
     int status = NOT_RUN;
     try {
       status = steps.run(run) ? HELD : BROKEN;
-    } catch (Exception e) {
+    } catch (Exception | Error e) {
       run.log("the case could not run: " + e);
     }
     run.log("exit " + status);
